--- /dev/null
+++ b/packages/core/src/skylarklug/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions for colocated services and batch work, without I/O."""
--- /dev/null
+++ b/packages/operator/src/skylarklug_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line."""
