--- /dev/null
+++ b/tests/standins/support.py
@@ -0,0 +1,129 @@
+"""Helpers shared by the tests of the stand-ins."""
+
+import json
+
+from tornado import httpclient
+from tornado import simple_httpclient
+
+from skylarklug_standins import agent as agent_lib
+from skylarklug_standins import ledger as ledger_lib
+from skylarklug_standins import simulation
+
+CAPACITY = {"cpus": 16.0, "memory_mb": 60000, "accelerators": 0}
+
+
+async def fetch(url, method="GET", body=None, headers=None, timeout=5):
+    """Returns the response, or None when the connection gave none."""
+    client = simple_httpclient.SimpleAsyncHTTPClient(
+        force_instance=True, max_clients=200
+    )
+    if isinstance(body, dict):
+        body = json.dumps(body)
+    if body is None and method in ("POST", "PUT"):
+        body = ""
+    try:
+        return await client.fetch(
+            url,
+            method=method,
+            body=body,
+            headers=headers or {},
+            request_timeout=timeout,
+            raise_error=False,
+        )
+    except (OSError, httpclient.HTTPError):
+        return None
+    finally:
+        client.close()
+
+
+async def fetch_json(url, method="GET", body=None):
+    """Returns status and decoded body."""
+    response = await fetch(url, method, body)
+    return response.code, json.loads(response.body)
+
+
+class Clock:
+    """Virtual time in milliseconds."""
+
+    def __init__(self, now=1_000_000):
+        self.now = now
+
+    def __call__(self):
+        return self.now
+
+
+class Store:
+    """Object store in memory with an outage switch."""
+
+    def __init__(self):
+        self.objects = {}
+        self.outage = False
+
+    async def put(self, key, body):
+        if self.outage:
+            raise simulation.StoreUnavailable("outage")
+        self.objects[key] = body
+
+    async def get(self, key):
+        if self.outage:
+            raise simulation.StoreUnavailable("outage")
+        return self.objects.get(key)
+
+
+class Bench:
+    """Agents that share a virtual clock, a store and a ledger."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.store = Store()
+        self.ledger = ledger_lib.Ledger(self.clock)
+        self._seq = 0
+
+    def agent(self, name="w-1"):
+        return agent_lib.Agent(
+            name, CAPACITY, self.clock, self.ledger, self.store
+        )
+
+    async def sync(self, agent, *commands, epoch=1, lease=30_000, **options):
+        """Sends one message; `lease` is relative, None sends 0."""
+        self._seq += 1
+        lease_until = 0 if lease is None else self.clock.now + lease
+        message = {
+            "node": "node-1",
+            "partition": "yumbo/0",
+            "epoch": epoch,
+            "seq": self._seq,
+            "lease_until": lease_until,
+            "known_revision": 0,
+            "commands": list(commands),
+            **options,
+        }
+        return await agent.sync(message)
+
+
+def start(task, attempt=1, cpus=1, **fields):
+    """Returns a start command of a task of ten units of 100 ms."""
+    return {
+        "op": "start",
+        "task": task,
+        "attempt": attempt,
+        "size": {"cpus": cpus, "memory_mb": 100, "accelerators": 0},
+        "kind": "batch",
+        "run_time_ms": 1_000,
+        "checkpoint": None,
+        "payload": {},
+        **fields,
+    }
+
+
+def command(op, task, attempt=1, **fields):
+    """Returns a command other than start."""
+    return {"op": op, "task": task, "attempt": attempt, **fields}
+
+
+def states(response):
+    """Returns the reported state of each (task, attempt)."""
+    return {
+        (task["task"], task["attempt"]): task["state"]
+        for task in response["tasks"]
+    }
