--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := -e packages/core -e packages/node -e packages/operator -e packages/standins
 
-.PHONY: install run serve test lint format bench clean
+.PHONY: install run serve test lint format bench clean settings-reference
 
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -36,3 +36,6 @@
 
 clean:
 	rm -rf $(VENV)
+
+settings-reference: install
+	$(BIN)/python -m skylarklugd.reference > docs/settings.md
--- /dev/null
+++ b/packages/core/src/skylarklug/lists.py
@@ -0,0 +1,107 @@
+"""Rows of the operators' lists, as this node knows them."""
+
+from skylarklug import configuration
+from skylarklug import jobs
+from skylarklug import membership
+from skylarklug import ownership
+from skylarklug import placement
+from skylarklug import quota
+from skylarklug import routing
+from skylarklug import workers
+
+
+def _workers(state):
+    commitments = placement.list_commitments(state)
+    drained = set(configuration.current(state).get("drained", ()))
+    rows = []
+    for row in workers.list_workers(state):
+        row = dict(row)
+        if row["worker"] in drained and row["state"] == "live":
+            row["state"] = "drained"
+        row.update(commitments.get(row["worker"], {}))
+        rows.append(row)
+    return rows
+
+
+def _grouped(state, field):
+    groups = {}
+    for row in _workers(state):
+        group = groups.setdefault(
+            (row["data_centre"], row[field]),
+            {
+                field: row[field],
+                "data_centre": row["data_centre"],
+                "workers": 0,
+                "live": 0,
+                "leaving": 0,
+            },
+        )
+        group["workers"] += 1
+        if row["state"] == "leaving":
+            group["leaving"] += 1
+        else:
+            group["live"] += 1
+    return list(groups.values())
+
+
+def _racks(state):
+    return _grouped(state, "rack")
+
+
+def _data_centres(state):
+    rows = _grouped(state, "data_centre")
+    for row in rows:
+        row["nodes"] = len(membership.alive(state, row["data_centre"]))
+    return rows
+
+
+def _services(state):
+    rows = []
+    for row in routing.list_services(state):
+        identity = {"node": state.node, "data_centre": state.data_centre}
+        rows.append({**row, **identity})
+    return rows
+
+
+def _flatten(value, prefix=""):
+    if not isinstance(value, dict):
+        return [{"key": prefix, "value": value}]
+    rows = []
+    for name in sorted(value):
+        path = f"{prefix}.{name}" if prefix else name
+        rows.extend(_flatten(value[name], path))
+    return rows
+
+
+def _config(state):
+    version = {"key": "version", "value": configuration.version(state)}
+    return [version, *_flatten(configuration.current(state))]
+
+
+_ROWS = {
+    "jobs": jobs.list_jobs,
+    "tasks": jobs.list_tasks,
+    "workers": _workers,
+    "racks": _racks,
+    "data-centres": _data_centres,
+    "nodes": membership.list_nodes,
+    "services": _services,
+    "teams": quota.list_teams,
+    "partitions": ownership.list_partitions,
+    "config": _config,
+}
+
+
+def rows(state, name: str) -> list[dict]:
+    """Returns this node's rows of the list `name`."""
+    return _ROWS[name](state)
+
+
+def explain(state, kind: str, ident: str) -> list[dict]:
+    """Returns the reasons that this node has recorded about one thing."""
+    if kind in ("task", "job"):
+        return jobs.explain(state, kind, ident)
+    found = routing.explain(state, kind, ident)
+    if kind == "worker":
+        found = [*found, *jobs.explain(state, kind, ident)]
+    return [{"node": state.node, **row} for row in found]
--- /dev/null
+++ b/packages/core/src/skylarklug/query.py
@@ -0,0 +1,525 @@
+"""The operator language: parsing, and evaluation over rows.
+
+Statements are data; `commands` carries them out.
+"""
+
+import difflib
+import functools
+import json
+from typing import Any
+from typing import NamedTuple
+
+import lark
+
+from skylarklug import exceptions
+
+# Columns of each list, in the order of the table output.
+FIELDS = {
+    "jobs": (
+        "job", "team", "kind", "class", "state", "priority", "partition",
+        "tasks", "pending", "running", "finished", "failed", "reason",
+    ),
+    "tasks": (
+        "task", "job", "team", "state", "attempt", "worker", "partition",
+        "checkpoint", "evictions", "reason",
+    ),
+    "workers": (
+        "worker", "data_centre", "rack", "state", "partition", "cpus",
+        "memory_mb", "accelerators", "free_cpus", "free_memory_mb",
+        "free_accelerators", "slots", "services", "tasks", "quarantine",
+    ),
+    "racks": ("rack", "data_centre", "workers", "live", "leaving"),
+    "data-centres": ("data_centre", "workers", "live", "leaving", "nodes"),
+    "nodes": (
+        "node", "data_centre", "region", "state", "version", "partitions",
+        "reachable",
+    ),
+    "services": (
+        "service", "data_centre", "node", "workers", "in_flight", "queued",
+        "ejected", "latency_ms",
+    ),
+    "teams": (
+        "team", "partition", "cpus", "memory_mb", "accelerators", "weight",
+        "used_cpus", "used_memory_mb", "used_accelerators",
+    ),
+    "partitions": ("partition", "owner", "epoch", "mode"),
+    "config": ("key", "value"),
+}  # fmt: skip
+LISTS = tuple(FIELDS)
+KINDS = ("task", "job", "worker", "request", "service")
+VERBS = (
+    "count", "why", "submit", "cancel", "drain", "undrain", "set",
+    "rollback", "move", "watch", "config status", "help",
+)  # fmt: skip
+DEFAULT_LIMIT = 200
+MAX_LIMIT = 10_000
+
+HELP = """\
+Lists:    jobs tasks workers racks data-centres nodes services teams
+          partitions config
+          LIST [where CONDITION] [sort by FIELD [desc]] [limit N]
+          count LIST [where CONDITION] [by FIELD]
+          CONDITION: FIELD = != < <= > >= ~ VALUE, and, or, not, ( )
+          tasks where worker=w-07 and state=running
+Reasons:  why task|job|worker|request|service ID
+Changes:  submit FILE | cancel JOB | move JOB PARTITION
+          drain WORKER | undrain WORKER
+          set KEY VALUE | rollback VERSION
+Other:    config status | watch LIST ... | help
+"""
+
+# A keyword ends where a name would go on, so that `order` is not `or`.
+_END = r"(?![\w.\/:-])"
+_KEYWORDS = (
+    "count", "watch", "why", "submit", "cancel", "drain", "undrain", "set",
+    "rollback", "move", "status", "help", "where", "and", "or", "not",
+    "sort", "by", "limit",
+)  # fmt: skip
+
+_RULES = r"""
+start: listing | counting | why | submit | cancel | drain | undrain
+     | set | rollback | move | config_status | watch | help
+listing: LIST where? order? limit?
+counting: _COUNT LIST where? (_BY NAME)?
+watch: _WATCH listing
+why: _WHY KIND value
+submit: _SUBMIT value
+cancel: _CANCEL value
+drain: _DRAIN value
+undrain: _UNDRAIN value
+set: _SET KEY REST
+rollback: _ROLLBACK INT
+move: _MOVE value value
+config_status: LIST _STATUS
+help: _HELP
+where: _WHERE disjunction
+?disjunction: conjunction (_OR conjunction)*
+?conjunction: condition (_AND condition)*
+?condition: _NOT condition -> negation
+          | "(" disjunction ")"
+          | NAME OP value -> compare
+order: _SORT _BY NAME DIRECTION?
+limit: _LIMIT INT
+value: STRING | WORD
+DIRECTION.5: /(asc|desc)/
+INT.2: /\d+/
+NAME.1: /[a-z_]+/
+KEY: /[\w.\/:-]+/
+REST: /\S.*/
+WORD: /[^\s=!<>~()"]+/
+OP: "!=" | "<=" | ">=" | "=" | "<" | ">" | "~"
+STRING: /"(\\.|[^"\\])*"/
+%ignore /\s+/
+"""
+
+
+def _grammar() -> str:
+    lines = [_RULES]
+    for word in _KEYWORDS:
+        lines.append(f"_{word.upper()}.5: /{word}{_END}/")
+    lines.append(f"LIST.5: /({'|'.join(LISTS)}){_END}/")
+    lines.append(f"KIND.5: /({'|'.join(KINDS)}){_END}/")
+    return "\n".join(lines)
+
+
+class Compare(NamedTuple):
+    """A condition on one field; `op` is one of = != < <= > >= ~."""
+
+    field: str
+    op: str
+    value: str
+
+
+class And(NamedTuple):
+    """All parts hold."""
+
+    parts: tuple
+
+
+class Or(NamedTuple):
+    """At least one part holds."""
+
+    parts: tuple
+
+
+class Not(NamedTuple):
+    """The part does not hold."""
+
+    part: Any
+
+
+class Listing(NamedTuple):
+    """Rows of a list that meet the condition, sorted and limited."""
+
+    name: str
+    where: Any
+    sort: str
+    descending: bool
+    limit: int
+
+
+class Count(NamedTuple):
+    """Number of rows that meet the condition, grouped by a field."""
+
+    name: str
+    where: Any
+    by: str
+
+
+class Watch(NamedTuple):
+    """Repeats a listing; the client does the repeating."""
+
+    text: str
+
+
+class Why(NamedTuple):
+    """Asks for the reasons recorded about one thing."""
+
+    kind: str
+    ident: str
+
+
+class Submit(NamedTuple):
+    """Submits the job in the file `source`, or in the body when "-"."""
+
+    source: str
+
+
+class Cancel(NamedTuple):
+    """Cancels a job."""
+
+    job: str
+
+
+class Drain(NamedTuple):
+    """Stops new work on a worker and moves its tasks."""
+
+    worker: str
+
+
+class Undrain(NamedTuple):
+    """Allows new work on a drained worker."""
+
+    worker: str
+
+
+class Set(NamedTuple):
+    """Sets one key of the configuration; the value is JSON or a word."""
+
+    key: str
+    value: Any
+
+
+class Rollback(NamedTuple):
+    """Puts the document of an older version in force as a new version."""
+
+    version: int
+
+
+class Move(NamedTuple):
+    """Moves the pending part of a job to another partition."""
+
+    job: str
+    partition: str
+
+
+class ConfigStatus(NamedTuple):
+    """Lists the configuration version in force on each node."""
+
+
+class Help(NamedTuple):
+    """Lists the commands."""
+
+
+_CHANGES = (Submit, Cancel, Drain, Undrain, Set, Rollback, Move)
+
+
+def changes_state(statement) -> bool:
+    """Returns whether the statement needs the write role."""
+    return isinstance(statement, _CHANGES)
+
+
+def words() -> list[str]:
+    """Returns the words that the shell completes."""
+    fields = {field for columns in FIELDS.values() for field in columns}
+    keywords = {"where", "and", "or", "not", "sort", "by", "limit", "desc"}
+    return sorted({*LISTS, *KINDS, *VERBS, *fields, *keywords})
+
+
+# ------------------------------------------------------------------ parsing
+
+
+class _Builder(lark.Transformer):
+    """Turns the parse tree into statements."""
+
+    def start(self, items):
+        return items[0]
+
+    def value(self, items):
+        token = items[0]
+        if token.type == "STRING":
+            return json.loads(str(token))
+        return str(token)
+
+    def compare(self, items):
+        return Compare(str(items[0]), str(items[1]), items[2])
+
+    def negation(self, items):
+        return Not(items[0])
+
+    def conjunction(self, items):
+        return And(tuple(items))
+
+    def disjunction(self, items):
+        return Or(tuple(items))
+
+    def where(self, items):
+        return ("where", items[0])
+
+    def order(self, items):
+        descending = len(items) > 1 and str(items[1]) == "desc"
+        return ("order", (str(items[0]), descending))
+
+    def limit(self, items):
+        return ("limit", int(items[0]))
+
+    def listing(self, items):
+        clauses = dict(items[1:])
+        field, descending = clauses.get("order", ("", False))
+        return Listing(
+            str(items[0]),
+            clauses.get("where"),
+            field,
+            descending,
+            clauses.get("limit", DEFAULT_LIMIT),
+        )
+
+    def counting(self, items):
+        where = None
+        by = ""
+        for item in items[1:]:
+            if isinstance(item, tuple):
+                where = item[1]
+            else:
+                by = str(item)
+        return Count(str(items[0]), where, by)
+
+    def why(self, items):
+        return Why(str(items[0]), items[1])
+
+    def submit(self, items):
+        return Submit(items[0])
+
+    def cancel(self, items):
+        return Cancel(items[0])
+
+    def drain(self, items):
+        return Drain(items[0])
+
+    def undrain(self, items):
+        return Undrain(items[0])
+
+    def set(self, items):
+        text = str(items[1]).strip()
+        try:
+            value = json.loads(text)
+        except ValueError:
+            value = text
+        return Set(str(items[0]), value)
+
+    def rollback(self, items):
+        return Rollback(int(items[0]))
+
+    def move(self, items):
+        return Move(items[0], items[1])
+
+    def config_status(self, items):
+        if str(items[0]) != "config":
+            raise ValueError(f"{items[0]} has no status, only config has")
+        return ConfigStatus()
+
+    def help(self, items):
+        return Help()
+
+    def watch(self, items):
+        return Watch("")
+
+
+@functools.cache
+def _parser():
+    return lark.Lark(_grammar(), parser="lalr", maybe_placeholders=False)
+
+
+def parse(text: str):
+    """Parses one command.
+
+    Raises:
+        BadInput: The text is not a command; the reason names the position
+            and the nearest valid word.
+    """
+    try:
+        tree = _parser().parse(text)
+    except lark.exceptions.UnexpectedInput as exc:
+        raise _syntax_error(text, exc) from exc
+    try:
+        statement = _Builder().transform(tree)
+    except lark.exceptions.VisitError as exc:
+        raise exceptions.BadInput(
+            f"bad value: {exc.orig_exc}", step="parse command", request=text
+        ) from exc
+    if isinstance(statement, Watch):
+        statement = Watch(text.strip()[len("watch") :].strip())
+        parse(statement.text)
+        return statement
+    _check_fields(statement, text)
+    return statement
+
+
+def _syntax_error(text, exc):
+    position = max(getattr(exc, "pos_in_stream", None) or 0, 0)
+    token = getattr(exc, "token", None)
+    at_end = token is not None and token.type == "$END"
+    if at_end or position >= len(text) or not text.strip():
+        found = ""
+    else:
+        found = text[position:].split()[0]
+    head = text.split()[0] if text.split() else ""
+    firsts = [*LISTS, *(verb.split()[0] for verb in VERBS)]
+    if not found:
+        reason = "the command is incomplete"
+        if head in firsts:
+            return exceptions.BadInput(
+                reason, step="parse command", request=text
+            )
+    else:
+        reason = f"unexpected {found!r} at position {position + 1}"
+    candidates = words() if head in firsts else firsts
+    guess = found or head
+    if head not in firsts:
+        guess = head
+    nearest = difflib.get_close_matches(guess, candidates, n=1)
+    if nearest:
+        reason += f"; did you mean {nearest[0]!r}?"
+    return exceptions.BadInput(reason, step="parse command", request=text)
+
+
+def _fields_of(where):
+    if isinstance(where, Compare):
+        return [where.field]
+    if isinstance(where, Not):
+        return _fields_of(where.part)
+    if isinstance(where, (And, Or)):
+        return [field for part in where.parts for field in _fields_of(part)]
+    return []
+
+
+def _check_fields(statement, text):
+    if isinstance(statement, Listing):
+        used = _fields_of(statement.where)
+        used += [statement.sort] if statement.sort else []
+    elif isinstance(statement, Count):
+        used = _fields_of(statement.where)
+        used += [statement.by] if statement.by else []
+    else:
+        return
+    valid = FIELDS[statement.name]
+    for field in used:
+        if field in valid:
+            continue
+        reason = f"{statement.name} has no field {field!r}"
+        nearest = difflib.get_close_matches(field, valid, n=1)
+        if nearest:
+            reason += f"; did you mean {nearest[0]!r}?"
+        raise exceptions.BadInput(reason, step="parse command", request=text)
+
+
+# --------------------------------------------------------------- evaluation
+
+
+def _number(value):
+    try:
+        return float(value)
+    except (TypeError, ValueError):
+        return None
+
+
+def _compare(actual, op, expected) -> bool:
+    if op == "~":
+        return expected in str(actual)
+    if isinstance(actual, (list, tuple)):
+        found = expected in [str(item) for item in actual]
+        return found if op == "=" else not found
+    left, right = _number(actual), _number(expected)
+    if left is None or right is None:
+        left, right = str(actual), str(expected)
+    if op == "=":
+        return left == right
+    if op == "!=":
+        return left != right
+    if op == "<":
+        return left < right
+    if op == "<=":
+        return left <= right
+    if op == ">":
+        return left > right
+    return left >= right
+
+
+def matches(where, row) -> bool:
+    """Returns whether a row meets a condition; None always holds."""
+    if where is None:
+        return True
+    if isinstance(where, Compare):
+        return _compare(row.get(where.field), where.op, where.value)
+    if isinstance(where, Not):
+        return not matches(where.part, row)
+    if isinstance(where, And):
+        return all(matches(part, row) for part in where.parts)
+    return any(matches(part, row) for part in where.parts)
+
+
+def _sort_key(field):
+    def key(row):
+        value = row.get(field)
+        number = _number(value)
+        if value is None:
+            return (2, 0, "")
+        if number is not None:
+            return (0, number, "")
+        return (1, 0, str(value))
+
+    return key
+
+
+def select(statement: Listing, rows: list) -> list[dict]:
+    """Returns the rows of a listing, filtered, sorted and limited.
+
+    Without a sort field the first column orders the rows, so that the same
+    state always gives the same answer.
+    """
+    columns = FIELDS[statement.name]
+    kept = [
+        {name: row.get(name) for name in columns}
+        for row in rows
+        if matches(statement.where, row)
+    ]
+    kept.sort(key=_sort_key(columns[0]))
+    if statement.sort:
+        kept.sort(key=_sort_key(statement.sort), reverse=statement.descending)
+    return kept[: min(statement.limit, MAX_LIMIT)]
+
+
+def count(statement: Count, rows: list) -> list[dict]:
+    """Returns one row with the count, or one for each value of a field."""
+    totals = {}
+    for row in rows:
+        if not matches(statement.where, row):
+            continue
+        value = row.get(statement.by) if statement.by else "all"
+        totals[str(value)] = totals.get(str(value), 0) + 1
+    if not statement.by:
+        return [{"count": totals.get("all", 0)}]
+    return [
+        {statement.by: value, "count": totals[value]}
+        for value in sorted(totals)
+    ]
--- a/packages/core/src/skylarklug/reducer.py
+++ b/packages/core/src/skylarklug/reducer.py
@@ -21,7 +21,8 @@
     "jobs",
     "lease",
     "placement",
-    "query",
+    "gather",
+    "commands",
 )
 
 
--- /dev/null
+++ b/packages/node/src/skylarklugd/runtime.py
@@ -0,0 +1,269 @@
+"""Runs one node: feeds events to the reducer and performs its effects."""
+
+import asyncio
+import collections
+import random
+import time
+
+from skylarklug import api
+from skylarklug import effects
+from skylarklug import events
+from skylarklug import exceptions
+from skylarklugd import logs
+from skylarklugd import metrics
+from skylarklugd import operators
+from skylarklugd import peers
+from skylarklugd import platform
+from skylarklugd import server
+from skylarklugd import settings
+
+TICK_S = 0.05
+# One reducer duration in this many is recorded, to keep the cost low.
+DURATION_SAMPLING = 64
+BYTES_INTERVAL_TICKS = 100
+
+
+def monotonic_ms() -> int:
+    """Returns the monotonic time in milliseconds."""
+    return time.monotonic_ns() // 1_000_000
+
+
+class Node:
+    """One node of the system.
+
+    Args:
+        cfg: Settings as for `settings.check`.
+        clock: Returns monotonic milliseconds.
+
+    Raises:
+        ExceptionGroup: The settings are not valid.
+    """
+
+    def __init__(self, cfg, clock=monotonic_ms):
+        self._cfg = settings.check(cfg, "settings")
+        self._clock = clock
+        self._state = api.new_state()
+        self._queue = collections.deque()
+        self._reducing = False
+        self._events = 0
+        self._ticks = 0
+        self._ticker = None
+        self._exited = None
+        self._trace = None
+        self._closed = False
+        self.name = self._cfg["node"]
+        self._logger = logs.Logger(self.name, clock)
+        self._metrics = metrics.Metrics(self._cfg["metrics"], self.name)
+        caller_cfg = {**self._cfg["caller"], "node": self.name}
+        self._server = server.CallerServer(caller_cfg, self.dispatch, clock)
+        self._operators = operators.OperatorServer(
+            self._cfg["operator"],
+            self._cfg["tokens"],
+            self.dispatch,
+            clock,
+            self._metrics,
+        )
+        rng = random.Random(f"{self._cfg['seed']}/{self.name}")
+        self._platform = platform.PlatformClient(
+            self._cfg["platform"], self.name, self.dispatch, clock, rng
+        )
+        self._peers = None
+        self._bytes = (0, 0)
+        self._performers = self._build_performers()
+
+    # ------------------------------------------------------------ lifecycle
+
+    async def start(self) -> None:
+        """Opens the listeners and starts the reducer.
+
+        Raises:
+            OSError: A listening address is taken.
+        """
+        self._exited = asyncio.get_running_loop().create_future()
+        incarnation = time.time_ns() // 1_000_000
+        peer_cfg = {
+            **self._cfg["peer"],
+            "node": self.name,
+            "data_centre": self._cfg["data_centre"],
+            "incarnation": incarnation,
+        }
+        self._peers = peers.PeerLinks(
+            peer_cfg, self.dispatch, self._clock, self._logger.log
+        )
+        if self._cfg["trace"]:
+            self._trace = open(self._cfg["trace"], "wb")  # noqa: SIM115
+        await self._peers.start()
+        self._operators.start()
+        await self._server.start()
+        self._platform.start()
+        self.dispatch(
+            events.NodeStarted(
+                at=self._clock(),
+                node=self.name,
+                data_centre=self._cfg["data_centre"],
+                region=self._cfg["region"],
+                incarnation=incarnation,
+                seed=self._cfg["seed"],
+                settings=settings.for_core(self._cfg),
+            )
+        )
+        self._ticker = asyncio.get_running_loop().create_task(self._tick())
+
+    async def stop(self) -> int:
+        """Stops gracefully and returns the exit status."""
+        self.dispatch(events.StopRequested(self._clock()))
+        return await self.wait()
+
+    async def wait(self) -> int:
+        """Waits until the reducer ends the node; returns the exit status."""
+        status = await asyncio.shield(self._exited)
+        await self._close()
+        return status
+
+    async def kill(self) -> None:
+        """Ends the node at once, as a crash would."""
+        await self._close()
+
+    async def _close(self):
+        if self._closed:
+            return
+        self._closed = True
+        if self._ticker is not None:
+            self._ticker.cancel()
+        await self._server.close()
+        await self._operators.close()
+        await self._platform.close()
+        await self._peers.close()
+        if self._trace is not None:
+            self._trace.close()
+        self._metrics.close()
+
+    @property
+    def caller_port(self) -> int:
+        """Port for callers."""
+        return self._server.port
+
+    @property
+    def operator_port(self) -> int:
+        """Port for operators."""
+        return self._operators.port
+
+    @property
+    def peer_port(self) -> int:
+        """Port for other nodes."""
+        return self._peers.port
+
+    # -------------------------------------------------------- the main loop
+
+    async def _tick(self):
+        while True:
+            self.dispatch(events.Tick(self._clock()))
+            self._ticks += 1
+            if self._ticks % BYTES_INTERVAL_TICKS == 0:
+                self._record_bytes()
+            await asyncio.sleep(TICK_S)
+
+    def dispatch(self, event) -> None:
+        """Hands an event to the reducer and performs the effects in order."""
+        if self._closed:
+            return
+        self._queue.append(event)
+        if self._reducing:
+            return
+        self._reducing = True
+        try:
+            while self._queue:
+                self._handle(self._queue.popleft())
+        finally:
+            self._reducing = False
+
+    def _handle(self, event):
+        self._events += 1
+        if self._trace is not None:
+            self._record(event)
+        started = time.perf_counter()
+        produced = api.reduce(self._state, event)
+        if self._events % DURATION_SAMPLING == 0:
+            self._metrics.record(
+                "skylarklug.reducer.duration",
+                time.perf_counter() - started,
+                {"event": type(event).__name__},
+            )
+        for effect in produced:
+            self._perform(effect)
+
+    def _record(self, event):
+        from skylarklug import trace
+
+        self._trace.write(trace.encode_event(event))
+
+    def _perform(self, effect):
+        performer = self._performers.get(type(effect))
+        if performer is None:
+            raise exceptions.SkylarklugError(
+                f"no performer for {type(effect).__name__}",
+                step="perform effect",
+            )
+        performer(effect)
+
+    def _record_bytes(self):
+        sent = self._peers.bytes_sent + self._platform.bytes_sent
+        received = self._peers.bytes_received + self._platform.bytes_received
+        for name, value, last in (
+            ("sent", sent, self._bytes[0]),
+            ("received", received, self._bytes[1]),
+        ):
+            self._metrics.record(
+                "skylarklug.control.bytes", value - last, {"direction": name}
+            )
+        self._bytes = (sent, received)
+
+    # -------------------------------------------------------------- effects
+
+    def _build_performers(self):
+        performers = {
+            effects.AnswerCommand: self._operators.answer,
+            effects.Exit: self._exit,
+            effects.Log: self._log,
+            effects.Measure: self._measure,
+            effects.SetReady: self._set_ready,
+        }
+        for effect_type in (
+            effects.SendAttempt,
+            effects.ForwardAttempt,
+            effects.CancelAttempt,
+            effects.RelayAnswer,
+            effects.AnswerError,
+            effects.StopAccepting,
+        ):
+            performers[effect_type] = self._server.perform
+        for effect_type in platform.PERFORMERS:
+            performers[effect_type] = self._platform.perform
+        for effect_type in (
+            effects.ConnectPeer,
+            effects.ClosePeer,
+            effects.SendPeer,
+        ):
+            performers[effect_type] = self._perform_peer
+        return performers
+
+    def _perform_peer(self, effect):
+        self._peers.perform(effect)
+
+    def _exit(self, effect):
+        fields = {"status": effect.status, "reason": effect.reason}
+        self._logger.log("info", "exit", fields)
+        if not self._exited.done():
+            self._exited.set_result(effect.status)
+
+    def _log(self, effect):
+        self._logger.log(effect.level, effect.event, effect.fields)
+
+    def _measure(self, effect):
+        self._metrics.record(effect.name, effect.value, effect.attributes)
+
+    def _set_ready(self, effect):
+        self._operators.ready = (effect.ready, effect.reason)
+        self._server.set_ready(effect.ready, effect.reason)
+        fields = {"ready": effect.ready, "reason": effect.reason}
+        self._logger.log("info", "ready", fields)
--- /dev/null
+++ b/packages/operator/src/skylarklug_operator/client.py
@@ -0,0 +1,88 @@
+"""Client of a node's operator endpoint."""
+
+import asyncio
+import json
+from typing import Any
+from typing import NamedTuple
+
+from tornado import httpclient
+from tornado import simple_httpclient
+
+from skylarklug import exceptions
+
+REQUEST_TIMEOUT_S = 15
+
+
+class Answer(NamedTuple):
+    """A node's answer: its status and the other fields of the body."""
+
+    status: str
+    body: dict[str, Any]
+
+
+async def _post(address, token, message):
+    http = simple_httpclient.SimpleAsyncHTTPClient(force_instance=True)
+    request = httpclient.HTTPRequest(
+        f"http://{address}/operator/command",
+        method="POST",
+        body=json.dumps(message),
+        headers={
+            "Content-Type": "application/json",
+            "Authorization": f"Bearer {token}",
+        },
+        request_timeout=REQUEST_TIMEOUT_S,
+    )
+    try:
+        return await http.fetch(request, raise_error=False)
+    finally:
+        http.close()
+
+
+def run(addresses, token: str, message: dict[str, Any]) -> Answer:
+    """Sends a command to the first node that can be reached.
+
+    A command that changes state goes to the next node only if it carries an
+    idempotency key, because the effect of a lost answer is unknown.
+
+    Args:
+        addresses: Nodes as host:port, tried in order.
+        token: The operator's credential.
+        message: Fields `command`, `key`, `if_version`, `dry_run`, `body`.
+
+    Raises:
+        Unavailable: No node gave an answer.
+    """
+    problems = []
+    for address in addresses:
+        try:
+            response = asyncio.run(_post(address, token, message))
+        except (OSError, httpclient.HTTPError) as exc:
+            problems.append(f"{address}: {exc}")
+            refused = isinstance(exc, ConnectionRefusedError)
+            if refused or message.get("key"):
+                continue
+            break
+        return _decode(response, address)
+    raise exceptions.Unavailable(
+        "; ".join(problems),
+        step="send command",
+        peer=",".join(addresses),
+        request=message["command"],
+    )
+
+
+def _decode(response, address) -> Answer:
+    if response.code == 599:
+        raise exceptions.Unavailable(
+            str(response.error), step="send command", peer=address
+        )
+    try:
+        body = json.loads(response.body)
+        status = body.pop("status")
+    except (ValueError, KeyError, AttributeError) as exc:
+        raise exceptions.ProtocolError(
+            f"malformed answer with status {response.code}",
+            step="read answer",
+            peer=address,
+        ) from exc
+    return Answer(status, body)
--- /dev/null
+++ b/packages/operator/src/skylarklug_operator/render.py
@@ -0,0 +1,59 @@
+"""Output of answers as tables for people or JSON for programs."""
+
+import json
+
+import tabulate
+
+from skylarklug_operator import client
+
+
+def render(answer: client.Answer, output: str) -> str:
+    """Returns the answer as text.
+
+    Args:
+        answer: The node's answer.
+        output: "table" or "json".
+    """
+    if output == "json":
+        return json.dumps(
+            {"status": answer.status, **answer.body}, indent=2, default=str
+        )
+    lines = []
+    rows = answer.body.get("rows")
+    if rows:
+        lines.append(_table(rows, answer.body.get("columns")))
+    elif rows is not None:
+        lines.append("(no rows)")
+    if answer.body.get("message"):
+        lines.append(answer.body["message"])
+    lines.extend(_notes(answer.body))
+    return "\n".join(lines)
+
+
+def _table(rows, columns):
+    columns = columns or list(rows[0])
+    cells = [[_cell(row.get(name)) for name in columns] for row in rows]
+    return tabulate.tabulate(cells, headers=columns, disable_numparse=True)
+
+
+def _cell(value):
+    if value is None:
+        return "-"
+    if isinstance(value, (dict, list)):
+        return json.dumps(value, separators=(",", ":"))
+    return value
+
+
+def _notes(body):
+    """Returns what the reader has to know about the answer's limits."""
+    notes = []
+    for name in ("step", "peer", "suggestion"):
+        if body.get(name):
+            notes.append(f"{name}: {body[name]}")
+    if body.get("winner"):
+        notes.append(f"winner: {json.dumps(body['winner'])}")
+    if body.get("missing"):
+        notes.append("no answer from: " + ", ".join(body["missing"]))
+    if body.get("age_ms"):
+        notes.append(f"oldest part: {body['age_ms']} ms")
+    return notes
