Add the request side of the decision core

Cause: requests need a worker, a slot, an outcome and a bounded wait.

Change: workers keeps the VM list and leaving signals; limits and lending hold and lend slots; admission queues and refuses; health estimates latency and ejects; routing chooses among free workers; spill forwards to another data centre; requests drives the life cycle; retries bounds repeats; stopping drains the node. contracts guards calls to domains that are not present yet. A retry that must avoid the worker just tried waits outside the fair queue; in the queue it blocked every request behind it when that worker was the only free one.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each module prints a table with targets beside figures."""
--- /dev/null
+++ b/packages/core/src/skylarklug/retries.py
@@ -0,0 +1,83 @@
+"""Outcome classification, and the budget of retries and hedges."""
+
+from skylarklug import events
+
+NOT_RUN = "not run"
+UNKNOWN = "unknown"
+
+BUDGET_FRACTION = 0.1
+BUDGET_WINDOW_MS = 10_000
+# Lets a node with little traffic retry at all.
+BUDGET_FLOOR = 3.0
+
+
+class RetriesState:
+    """A token bucket that holds 10% of the requests of the last 10 s."""
+
+    def __init__(self):
+        self.tokens = BUDGET_FLOOR
+        self.recent = 0.0
+        self.updated = 0
+        self.spent = 0
+        self.denied = 0
+
+
+def new_state() -> RetriesState:
+    """Returns a bucket that holds only the floor."""
+    return RetriesState()
+
+
+def classify(sent: bool, refused: bool) -> str:
+    """Returns the outcome of one failed attempt.
+
+    Only a refusal by the upstream, or the proof that no byte can have
+    reached it, shows that the request did not run.
+    """
+    return UNKNOWN if sent and not refused else NOT_RUN
+
+
+def may_repeat(idempotent: bool, outcome: str) -> bool:
+    """Tells whether the request may be sent again after this outcome."""
+    return idempotent or outcome == NOT_RUN
+
+
+def deposit(state):
+    """Counts one arrived request."""
+    bucket = state.domains["retries"]
+    _decay(bucket, state.now)
+    bucket.recent += 1
+    cap = max(BUDGET_FLOOR, bucket.recent * BUDGET_FRACTION)
+    bucket.tokens = min(cap, bucket.tokens + BUDGET_FRACTION)
+
+
+def withdraw(state) -> bool:
+    """Takes one token for a retry or a hedge; false when none is left."""
+    bucket = state.domains["retries"]
+    if bucket.tokens < 1.0:
+        bucket.denied += 1
+        return False
+    bucket.tokens -= 1.0
+    bucket.spent += 1
+    return True
+
+
+def refund(state):
+    """Returns the token of a retry or hedge that was not sent."""
+    bucket = state.domains["retries"]
+    bucket.tokens += 1.0
+    bucket.spent -= 1
+
+
+def _decay(bucket, now):
+    elapsed = now - bucket.updated
+    if elapsed <= 0:
+        return
+    bucket.updated = now
+    bucket.recent *= max(0.0, 1.0 - elapsed / BUDGET_WINDOW_MS)
+
+
+def _on_started(state, event, effects):
+    state.domains["retries"].updated = event.at
+
+
+HANDLERS = {events.NodeStarted: _on_started}
