Add table, ownership, configuration and membership

The decision core had no shared state. Four domains now hold it, as pure handlers:

- ownership (with partitions): node leases, fencing, take-over, release and balance.
- membership (with members and links): SWIM probes, suspicion, sparse links.
- configuration: checked documents, compare-and-set, spread by polls and peers.

pydantic requires TypedDict of typing_extensions on Python 3.11, so core declares it.

--- /dev/null
+++ b/packages/core/src/skylarklug/configuration.py
@@ -0,0 +1,439 @@
+"""The configuration in force and its changes.
+
+A change is a compare-and-set of `config/current` that also writes a history
+and an audit row. Nodes learn it by polling the table and from peers; only a
+higher configuration version is ever applied, so an accepted one never
+reverts.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import copy
+import json
+from typing import Annotated
+from typing import Any
+from typing import NotRequired
+
+import pydantic
+from typing_extensions import TypedDict
+
+from skylarklug import effects as effects_lib
+from skylarklug import events
+from skylarklug import exceptions
+from skylarklug import membership
+from skylarklug import table
+
+CURRENT = "config/current"
+POLL_INTERVAL_MS = 2_000
+CHANGE_DEADLINE_MS = 4_000
+CREATE_DELAY_MS = 1_000
+MAX_DOCUMENT_BYTES = 48 * 1024
+# A peer that reports an older version is sent the document again at most this
+# often, as its report may have crossed the first copy.
+RESEND_INTERVAL_MS = 300
+
+_STRICT = pydantic.ConfigDict(extra="forbid", strict=True, allow_inf_nan=False)
+_Positive = Annotated[int, pydantic.Field(gt=0)]
+_Count = Annotated[int, pydantic.Field(ge=0)]
+_Amount = Annotated[float, pydantic.Field(ge=0)]
+_Weight = Annotated[float, pydantic.Field(ge=0, le=1)]
+_Name = Annotated[str, pydantic.Field(min_length=1)]
+
+
+class Service(TypedDict):
+    """Limits of a service; `timeout_ms` covers one attempt."""
+
+    __pydantic_config__ = _STRICT
+    slots: NotRequired[_Positive]
+    connections: NotRequired[_Positive]
+    timeout_ms: NotRequired[_Positive]
+    queue: NotRequired[_Count]
+
+
+class Team(TypedDict):
+    """Quota of a team and its weight in the fair share."""
+
+    __pydantic_config__ = _STRICT
+    cpus: NotRequired[_Amount]
+    memory_mb: NotRequired[_Count]
+    accelerators: NotRequired[_Count]
+    weight: NotRequired[Annotated[float, pydantic.Field(gt=0)]]
+
+
+class Weights(TypedDict):
+    """Weights of the three objectives."""
+
+    __pydantic_config__ = _STRICT
+    latency: _Weight
+    throughput: _Weight
+    evictions: _Weight
+
+
+class Document(TypedDict):
+    """A configuration document."""
+
+    __pydantic_config__ = _STRICT
+    services: NotRequired[dict[_Name, Service]]
+    teams: NotRequired[dict[_Name, Team]]
+    weights: NotRequired[Weights]
+    drained: NotRequired[list[_Name]]
+    limits: NotRequired[dict[_Name, _Amount]]
+
+
+EMPTY: Document = {
+    "services": {},
+    "teams": {},
+    "weights": {"latency": 0.4, "throughput": 0.3, "evictions": 0.3},
+    "drained": [],
+    "limits": {},
+}
+
+_ADAPTER = pydantic.TypeAdapter(Document)
+
+
+class ConfigurationState:
+    """The document in force and what is known about newer ones."""
+
+    def __init__(self):
+        self.version = 0
+        self.document: Document = copy.deepcopy(EMPTY)
+        self.table_version = 0
+        self.polling = False
+        self.poll_at = 0
+        self.create_at = 0
+        self.stopping = False
+        self.sent_at: dict[str, int] = {}
+        self.started_at = 0
+
+
+def new_state() -> ConfigurationState:
+    """Returns the state of a node that holds no version."""
+    return ConfigurationState()
+
+
+def check(document: Any) -> list[str]:
+    """Returns all errors of a document, each with the key that it concerns."""
+    try:
+        _ADAPTER.validate_python(document)
+    except pydantic.ValidationError as exc:
+        return [
+            f"{'.'.join(str(part) for part in error['loc'])}: {error['msg']}"
+            for error in exc.errors()
+        ]
+    size = len(json.dumps(document).encode())
+    if size > MAX_DOCUMENT_BYTES:
+        return [f"document: {size} bytes, at most {MAX_DOCUMENT_BYTES} allowed"]
+    return []
+
+
+def current(state) -> Document:
+    """Returns the document in force; it must not be changed in place."""
+    return state.domains["configuration"].document
+
+
+def version(state) -> int:
+    """Returns the configuration version in force, 0 before there is one."""
+    return state.domains["configuration"].version
+
+
+def status(state) -> dict[str, Any]:
+    """Returns where the newest version known is in force.
+
+    Keys: "version", "in_force", "nodes" and "versions" (version by node).
+    """
+    versions = membership.versions(state)
+    newest = max(versions.values())
+    in_force = sum(held == newest for held in versions.values())
+    return {
+        "version": newest,
+        "in_force": in_force,
+        "nodes": len(versions),
+        "versions": versions,
+    }
+
+
+# ------------------------------------------------------------------ changes
+
+
+def change(
+    state,
+    effects: list,
+    actor: str,
+    edit: Callable[[Document], Document],
+    if_version: int,
+    done: Callable,
+    *,
+    action: str = "set",
+):
+    """Puts an edited document in force by compare-and-set.
+
+    `edit` returns the new document and may change its argument, a copy; it
+    raises `exceptions.BadInput` when it can't. `done(state, effects, status,
+    body)` gets the statuses of `AnswerCommand`. A conflict shows the winner's
+    version, actor and document. "unavailable" carries `unknown`: false when
+    nothing was changed, true when the answer to the write was lost.
+    """
+
+    def on_read(state, effects, result):
+        if result.status != "read":
+            body = {"reason": "the table does not answer", "unknown": False}
+            done(state, effects, "unavailable", body)
+            return
+        rows = {row.key: row for row in result.rows}
+        row = rows.get(CURRENT, events.Row(CURRENT, 0, None))
+        _apply_row(state, effects, row)
+        _edit(state, effects, actor, edit, if_version, action, row, done)
+
+    table.read(
+        state, effects, (CURRENT,), (), on_read, deadline_ms=CHANGE_DEADLINE_MS
+    )
+
+
+def _edit(state, effects, actor, edit, if_version, action, row, done):
+    held = 0 if row.value is None else row.value["version"]
+    if if_version and if_version != held:
+        done(state, effects, "conflict", _winner(row))
+        return
+    document = EMPTY if row.value is None else row.value["document"]
+    try:
+        document = edit(copy.deepcopy(document))
+    except exceptions.BadInput as exc:
+        done(state, effects, "bad-input", {"errors": [str(exc)]})
+        return
+    errors = check(document)
+    if errors:
+        done(state, effects, "bad-input", {"errors": errors})
+        return
+    _write(state, effects, actor, document, action, row, done)
+
+
+def _write(state, effects, actor, document, action, row, done):
+    held = 0 if row.value is None else row.value["version"]
+    value = {"version": held + 1, "document": document, "actor": actor}
+    history = f"config/history/{held + 1}"
+    audit = f"audit/{state.new_id('config')}"
+    entry = {
+        "actor": actor,
+        "action": action,
+        "from": held,
+        "version": held + 1,
+        "node": state.node,
+        "time_ms": _wall_clock_ms(state),
+    }
+
+    def on_commit(state, effects, result):
+        if result.status == "committed":
+            fresh = events.Row(CURRENT, result.version, value)
+            _apply_row(state, effects, fresh)
+            done(state, effects, "done", {"version": held + 1})
+        elif result.status == "conflict":
+            rows = {row.key: row for row in result.rows}
+            winner = rows.get(CURRENT, row)
+            _apply_row(state, effects, winner)
+            done(state, effects, "conflict", _winner(winner))
+        else:
+            reason = "no answer to the write; it may have taken effect"
+            body = {"reason": reason, "unknown": True, "version": held + 1}
+            done(state, effects, "unavailable", body)
+
+    table.commit(
+        state,
+        effects,
+        (
+            effects_lib.Check(CURRENT, row.version),
+            effects_lib.Check(history, 0),
+            effects_lib.Check(audit, 0),
+        ),
+        (
+            effects_lib.Write(CURRENT, value),
+            effects_lib.Write(history, value),
+            effects_lib.Write(audit, entry),
+        ),
+        on_commit,
+        deadline_ms=CHANGE_DEADLINE_MS,
+    )
+
+
+def rollback(
+    state,
+    effects: list,
+    actor: str,
+    to_version: int,
+    if_version: int,
+    done: Callable,
+):
+    """Puts the document of an old version in force under a new version."""
+    history = f"config/history/{to_version}"
+
+    def on_read(state, effects, result):
+        if result.status != "read":
+            body = {"reason": "the table does not answer", "unknown": False}
+            done(state, effects, "unavailable", body)
+            return
+        found = [row.value for row in result.rows if row.value is not None]
+        if not found:
+            errors = [f"there is no configuration version {to_version}"]
+            done(state, effects, "bad-input", {"errors": errors})
+            return
+
+        def edit(document):
+            return found[0]["document"]
+
+        action = f"rollback to {to_version}"
+        change(state, effects, actor, edit, if_version, done, action=action)
+
+    table.read(
+        state, effects, (history,), (), on_read, deadline_ms=CHANGE_DEADLINE_MS
+    )
+
+
+def _winner(row):
+    if row.value is None:
+        return {"version": 0, "actor": "", "document": {}}
+    return {key: row.value[key] for key in ("version", "actor", "document")}
+
+
+def _wall_clock_ms(state):
+    started_at = state.domains["configuration"].started_at
+    return state.incarnation + state.now - started_at
+
+
+# ------------------------------------------------------------------- spread
+
+
+def _apply_row(state, effects, row):
+    if row.value is not None:
+        _apply(state, effects, row.value["version"], row.value["document"], "")
+
+
+def _apply(state, effects, new_version, document, source):
+    """Puts a document in force when its version is higher."""
+    domain = state.domains["configuration"]
+    if new_version <= domain.version:
+        return
+    first = domain.version == 0
+    domain.version = new_version
+    domain.document = document
+    membership.set_version(state, new_version)
+    state.raise_event(events.ConfigApplied(state.now, new_version, document))
+    fields = {"version": new_version, "peer": source or "table"}
+    effects.append(effects_lib.Log("info", "config-applied", fields))
+    if first and not domain.stopping:
+        effects.append(effects_lib.SetReady(True, "configuration is held"))
+    for peer in membership.linked(state):
+        if peer != source:
+            _send(state, effects, peer)
+
+
+def _send(state, effects, peer):
+    domain = state.domains["configuration"]
+    domain.sent_at[peer] = state.now
+    fields = {"version": domain.version, "document": domain.document}
+    membership.send(state, effects, peer, "config", fields)
+
+
+def _on_message(state, event, effects):
+    domain = state.domains["configuration"]
+    body = event.body
+    kind = body.get("kind")
+    if kind == "config":
+        _take(state, effects, event.peer, body)
+    elif kind in ("ping", "ack") and body.get("version", 0) < domain.version:
+        sent_at = domain.sent_at.get(event.peer, -RESEND_INTERVAL_MS)
+        if state.now - sent_at >= RESEND_INTERVAL_MS:
+            _send(state, effects, event.peer)
+
+
+def _take(state, effects, peer, body: Mapping[str, Any]):
+    domain = state.domains["configuration"]
+    if body["version"] <= domain.version:
+        return
+    errors = check(body["document"])
+    if errors:
+        # Only an accepted document reaches the table, so a peer that runs a
+        # newer release is the likely source.
+        fields = {"peer": peer, "version": body["version"], "reason": errors}
+        effects.append(effects_lib.Log("error", "config-refused", fields))
+        return
+    _apply(state, effects, body["version"], body["document"], peer)
+
+
+def _on_connected(state, event, effects):
+    if state.domains["configuration"].version:
+        _send(state, effects, event.peer)
+
+
+def _poll(state, effects):
+    domain = state.domains["configuration"]
+
+    def done(state, effects, result):
+        domain.polling = False
+        if result.status != "read":
+            return
+        domain.table_version = max(domain.table_version, result.version)
+        for row in result.rows:
+            _apply_row(state, effects, row)
+        if not domain.version and not domain.create_at:
+            delay_ms = state.rng.randint(0, CREATE_DELAY_MS)
+            domain.create_at = state.now + delay_ms
+
+    domain.polling = True
+    table.read(
+        state,
+        effects,
+        (CURRENT,),
+        (),
+        done,
+        after_version=domain.table_version,
+        deadline_ms=POLL_INTERVAL_MS,
+    )
+
+
+def _create(state, effects):
+    """Writes version 1 when the table holds no configuration yet.
+
+    Nodes that start together wait a random time first, and the check that
+    the row is absent lets one of them win.
+    """
+    domain = state.domains["configuration"]
+    document = copy.deepcopy(state.settings.get("configuration", EMPTY))
+
+    def done(state, effects, status, body):
+        domain.create_at = 0
+
+    row = events.Row(CURRENT, 0, None)
+    _write(state, effects, state.node, document, "create", row, done)
+
+
+# ----------------------------------------------------------------- handlers
+
+
+def _on_started(state, event, effects):
+    state.domains["configuration"] = domain = ConfigurationState()
+    domain.started_at = state.now
+    domain.poll_at = state.now
+
+
+def _on_tick(state, event, effects):
+    domain = state.domains["configuration"]
+    if state.now >= domain.poll_at and not domain.polling:
+        jitter_ms = state.rng.randint(0, POLL_INTERVAL_MS // 10)
+        domain.poll_at = state.now + POLL_INTERVAL_MS - jitter_ms
+        _poll(state, effects)
+    if domain.create_at and state.now >= domain.create_at:
+        domain.create_at = 0
+        if not domain.version:
+            _create(state, effects)
+
+
+def _on_stop(state, event, effects):
+    state.domains["configuration"].stopping = True
+
+
+HANDLERS = {
+    events.NodeStarted: _on_started,
+    events.Tick: _on_tick,
+    events.StopRequested: _on_stop,
+    events.PeerConnected: _on_connected,
+    events.PeerMessage: _on_message,
+}
--- /dev/null
+++ b/tests/core/test_configuration.py
@@ -0,0 +1,237 @@
+"""Tests of configuration versions."""
+
+import copy
+
+import hypothesis
+from hypothesis import strategies as st
+from tests.core import shared_fakes
+
+from skylarklug import configuration
+from skylarklug import effects as fx
+from skylarklug import events
+from skylarklug import exceptions
+
+NINE = {"yumbo": 3, "palmira": 3, "jamundi": 3}
+
+
+def start(sizes=NINE, seed=1):
+    cluster = shared_fakes.Cluster(seed, sizes)
+    cluster.start()
+    cluster.run(6_000)
+    return cluster
+
+
+def set_queue(queue):
+    def edit(document):
+        document["services"]["certvault"] = {"queue": queue}
+        return document
+
+    return edit
+
+
+def change(cluster, name, edit, if_version=0, actor="ana"):
+    answers = []
+
+    def done(state, effects, status, body):
+        answers.append((status, body))
+
+    cluster.call(name, configuration.change, actor, edit, if_version, done)
+    return answers
+
+
+def versions(cluster):
+    return [
+        configuration.version(node.state)
+        for node in cluster.nodes.values()
+        if node.state is not None
+    ]
+
+
+class TestCheck:
+    def test_all_errors_at_once(self):
+        """Guards against operators who fix one error per attempt."""
+        document = copy.deepcopy(configuration.EMPTY)
+        document["services"] = {"certvault": {"slots": 0, "timout_ms": 5}}
+        document["drained"] = "w-01"
+        document["weights"] = {"latency": 2.0, "throughput": 0.2}
+        errors = configuration.check(document)
+        keys = {error.split(":")[0] for error in errors}
+        assert keys == {
+            "services.certvault.slots",
+            "services.certvault.timout_ms",
+            "drained",
+            "weights.latency",
+            "weights.evictions",
+        }
+
+    def test_size_is_bounded(self):
+        """Guards against a document that does not fit a peer's frame."""
+        document = copy.deepcopy(configuration.EMPTY)
+        document["drained"] = [f"worker-{index:040}" for index in range(1200)]
+        assert configuration.check(document)[0].startswith("document: ")
+
+    @hypothesis.given(
+        st.recursive(
+            st.none() | st.booleans() | st.floats() | st.text(max_size=3),
+            lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+            max_leaves=8,
+        )
+    )
+    @hypothesis.settings(max_examples=100, derandomize=True, deadline=None)
+    def test_any_input_gives_errors_not_exceptions(self, document):
+        """Guards against a document that crashes the node."""
+        assert isinstance(configuration.check(document), list)
+
+
+class TestChange:
+    def test_in_force_everywhere(self):
+        """Guards against nodes left behind on the former version."""
+        cluster = start()
+        answers = change(cluster, "yumbo-1", set_queue(7), if_version=1)
+        cluster.run(7_000)
+        assert answers == [("done", {"version": 2})]
+        assert versions(cluster) == [2] * 9
+        for node in cluster.nodes.values():
+            document = configuration.current(node.state)
+            assert document["services"] == {"certvault": {"queue": 7}}
+        cluster.run(20_000)
+        status = configuration.status(cluster.nodes["palmira-2"].state)
+        assert (status["in_force"], status["nodes"]) == (9, 9)
+
+    def test_history_and_audit(self):
+        """Guards against a change that cannot be traced or rolled back."""
+        cluster = start()
+        change(cluster, "yumbo-1", set_queue(7))
+        cluster.run(7_000)
+        rows = cluster.table.rows
+        assert rows["config/history/2"][1]["document"]["services"]
+        audits = [v for k, (_, v) in rows.items() if k.startswith("audit/")]
+        assert [audit["version"] for audit in audits] == [1, 2]
+        assert audits[1]["actor"] == "ana"
+
+    def test_race_shows_the_winner(self):
+        """Guards against two operators who both believe they have won."""
+        cluster = start()
+        one = change(cluster, "yumbo-1", set_queue(1), actor="ana")
+        two = change(cluster, "jamundi-1", set_queue(2), actor="ben")
+        cluster.run(8_000)
+        won, lost = sorted(one + two, key=lambda answer: answer[0] != "done")
+        assert (won[0], lost[0]) == ("done", "conflict")
+        winner = "ana" if one[0][0] == "done" else "ben"
+        assert (lost[1]["version"], lost[1]["actor"]) == (2, winner)
+
+    def test_stale_if_version_is_a_conflict(self):
+        """Guards against a change made on a document not seen."""
+        cluster = start()
+        answers = change(cluster, "yumbo-1", set_queue(1), if_version=5)
+        cluster.run(7_000)
+        assert answers[0][0] == "conflict"
+        assert versions(cluster) == [1] * 9
+
+    def test_bad_document_changes_nothing(self):
+        """Guards against a bad configuration that reaches any node."""
+        cluster = start()
+
+        def refuse(document):
+            raise exceptions.BadInput("no such key")
+
+        for edit in (set_queue("many"), refuse):
+            answers = change(cluster, "yumbo-1", edit)
+            cluster.run(cluster.now + 1_000)
+            assert [status for status, _ in answers] == ["bad-input"]
+        assert versions(cluster) == [1] * 9
+
+    def test_outage_refuses_and_changes_nothing(self):
+        """Guards against a change that appears after it was refused."""
+        cluster = start()
+        cluster.table.outage = True
+        answers = change(cluster, "yumbo-1", set_queue(1))
+        cluster.run(12_000)
+        assert answers[0][0] == "unavailable"
+        assert not answers[0][1]["unknown"]
+        cluster.heal()
+        cluster.run(40_000)
+        assert versions(cluster) == [1] * 9
+
+    def test_rollback_writes_a_higher_version(self):
+        """Guards against versions that go down."""
+        cluster = start()
+        change(cluster, "yumbo-1", set_queue(7))
+        cluster.run(7_000)
+        answers = []
+
+        def done(state, effects, status, body):
+            answers.append((status, body))
+
+        for version in (1, 99):
+            cluster.call(
+                "palmira-1", configuration.rollback, "ben", version, 0, done
+            )
+            cluster.run(cluster.now + 1_000)
+        assert answers[0] == ("done", {"version": 3})
+        assert answers[1][0] == "bad-input"
+        state = cluster.nodes["jamundi-3"].state
+        assert configuration.current(state) == configuration.EMPTY
+
+
+class TestReadiness:
+    def ready(self, cluster, name):
+        found = []
+
+        def observe(cluster, node, event, effects):
+            ready = [e for e in effects if isinstance(e, fx.SetReady)]
+            if node.name == name:
+                found.extend(ready)
+
+        cluster.observers.append(observe)
+        return found
+
+    def test_not_ready_before_a_version_is_held(self):
+        """Guards against a new node that serves without a configuration."""
+        cluster = shared_fakes.Cluster(1, {"yumbo": 2})
+        cluster.table.outage = True
+        found = self.ready(cluster, "yumbo-1")
+        cluster.start()
+        cluster.run(20_000)
+        assert found == []
+        cluster.heal()
+        cluster.run(40_000)
+        assert [effect.ready for effect in found] == [True]
+
+    def test_takes_the_version_from_a_peer_in_an_outage(self):
+        """Guards against a start that depends on the table alone."""
+        cluster = start()
+        cluster.table.outage = True
+        cluster.kill("yumbo-1")
+        found = self.ready(cluster, "yumbo-1")
+        cluster.run(8_000)
+        cluster.start("yumbo-1")
+        cluster.run(20_000)
+        assert [effect.ready for effect in found] == [True]
+
+    def test_stop_keeps_it_unready(self):
+        """Guards against a stopping node that becomes ready again."""
+        cluster = shared_fakes.Cluster(1, {"yumbo": 1})
+        found = self.ready(cluster, "yumbo-1")
+        cluster.start()
+        node = cluster.nodes["yumbo-1"]
+        cluster.feed(node, 1, events.StopRequested(0))
+        cluster.run(5_000)
+        assert configuration.version(node.state) == 1
+        assert not any(effect.ready for effect in found)
+
+    def test_older_version_from_a_peer_is_ignored(self):
+        """Guards against a late message that reverts the configuration."""
+        cluster = start()
+        change(cluster, "yumbo-1", set_queue(7))
+        cluster.run(7_000)
+        body = {
+            "kind": "config",
+            "from": "yumbo-2",
+            "incarnation": 1,
+            "version": 1,
+            "document": configuration.EMPTY,
+        }
+        node = cluster.nodes["yumbo-1"]
+        cluster.feed(node, 1, events.PeerMessage(0, "yumbo-2", body))
+        assert configuration.version(node.state) == 2
--- /dev/null
+++ b/tests/core/test_membership.py
@@ -0,0 +1,199 @@
+"""Tests of failure detection and links."""
+
+from tests.core import shared_fakes
+
+from skylarklug import effects as fx
+from skylarklug import events
+from skylarklug import membership
+
+THREE = {"yumbo": 3}
+NINE = {"yumbo": 3, "palmira": 3, "jamundi": 3}
+
+
+def start(sizes, seed=1, **settings):
+    cluster = shared_fakes.Cluster(seed, sizes, **settings)
+    changes = []
+
+    def observe(cluster, node, event, effects):
+        domain = node.state.domains["membership"]
+        views = {m.node: m.view() for m in domain.members.values()}
+        changes.append((cluster.now, node.name, views))
+
+    cluster.observers.append(observe)
+    cluster.start()
+    cluster.run(5_000)
+    changes.clear()
+    return cluster, changes
+
+
+def downs(changes):
+    """Returns the set of (observer, member) that were ever down."""
+    return {
+        (name, node)
+        for _, name, views in changes
+        for node, view in views.items()
+        if view == "down"
+    }
+
+
+class TestDetection:
+    def test_killed_node_is_down_within_8_s(self):
+        """Guards against callers and slots that wait for a dead node."""
+        cluster, _ = start(THREE)
+        cluster.kill("yumbo-3")
+        cluster.run(cluster.now + 8_000)
+        for name in ("yumbo-1", "yumbo-2"):
+            state = cluster.nodes[name].state
+            assert membership.alive(state, "yumbo") == ["yumbo-1", "yumbo-2"]
+            assert not membership.reachable(state, "yumbo-3")
+
+    def test_restarted_node_is_alive_again(self):
+        """Guards against a node that stays down by its old incarnation."""
+        cluster, _ = start(THREE)
+        cluster.kill("yumbo-3")
+        cluster.run(cluster.now + 10_000)
+        cluster.start("yumbo-3")
+        cluster.run(cluster.now + 8_000)
+        for node in cluster.nodes.values():
+            assert len(membership.alive(node.state, "yumbo")) == 3
+
+    def test_loss_makes_nobody_down(self):
+        """Guards against flapping under 30% loss."""
+        for seed in range(8):
+            cluster, changes = start(NINE, seed)
+            cluster.loss = 0.3
+            cluster.run(60_000)
+            assert downs(changes) == set(), f"seed {seed}"
+
+    def test_one_way_link_makes_nobody_down(self):
+        """Guards against a node declared dead because one path is cut."""
+        cluster, changes = start(THREE)
+        cluster.block("yumbo-2", "yumbo-1", both=False)
+        cluster.run(40_000)
+        assert downs(changes) == set()
+
+    def test_cut_data_centre_stays_alive_for_the_others(self):
+        """Guards against one side's broken link spreading as a failure."""
+        cluster, changes = start(NINE)
+        for one in range(1, 4):
+            for two in range(1, 4):
+                cluster.block(f"yumbo-{one}", f"palmira-{two}")
+        cluster.run(60_000)
+        for observer, member in downs(changes):
+            assert not observer.startswith("jamundi")
+            assert not member.startswith("jamundi")
+
+    def test_unreachable_data_centre_is_reported_and_returns(self):
+        """Guards against spill to a data centre that is cut off."""
+        cluster, _ = start(NINE)
+        others = [n for n in cluster.nodes if not n.startswith("yumbo")]
+        for one in range(1, 4):
+            for other in others:
+                cluster.block(f"yumbo-{one}", other)
+        cluster.run(60_000)
+        state = cluster.nodes["yumbo-1"].state
+        assert not any(membership.reachable(state, node) for node in others)
+        assert len(membership.alive(state, "yumbo")) == 3
+        cluster.heal()
+        cluster.run(90_000)
+        assert len(membership.alive(state, "palmira")) == 3
+        assert any(membership.reachable(state, node) for node in others)
+
+
+class TestPause:
+    def test_resumed_node_suspects_nobody(self):
+        """Guards against a paused node that takes its own gap for failures."""
+        for seed in range(5):
+            cluster, changes = start(THREE, seed)
+            cluster.pause("yumbo-1", 20_000)
+            cluster.run(cluster.now + 19_900)
+            changes.clear()
+            cluster.run(cluster.now + 10_000)
+            bad = [
+                (name, view)
+                for _, name, views in changes
+                for view in views.values()
+                if name == "yumbo-1" and view != "alive"
+            ]
+            assert bad == [], f"seed {seed}"
+
+    def test_paused_node_refutes(self):
+        """Guards against a live node that stays down for the others."""
+        cluster, changes = start(THREE)
+        cluster.pause("yumbo-1", 20_000)
+        cluster.run(24_000)
+        assert ("yumbo-2", "yumbo-1") in downs(changes)
+        cluster.run(35_000)
+        state = cluster.nodes["yumbo-2"].state
+        assert "yumbo-1" in membership.alive(state, "yumbo")
+
+
+class TestLinks:
+    def test_mesh_inside_and_sparse_outside(self):
+        """Guards against a mesh whose cost grows with the square of nodes."""
+        sizes = {name: 4 for name in ("a", "b", "c", "d")}
+        regions = {"a": "one", "b": "one", "c": "two", "d": "two"}
+        cluster = shared_fakes.Cluster(3, sizes, regions=regions)
+        opened = []
+
+        def observe(cluster, node, event, effects):
+            for effect in effects:
+                if isinstance(effect, fx.ConnectPeer):
+                    opened.append((node.name, effect.peer))
+
+        cluster.observers.append(observe)
+        cluster.start()
+        cluster.run(10_000)
+        mine = {peer for name, peer in opened if name == "a-1"}
+        assert {"a-2", "a-3", "a-4"} <= mine
+        assert len([p for p in mine if p.startswith("b")]) == 2
+        assert len([p for p in mine if p[0] in "cd"]) == 1
+
+    def test_reconnect_is_spread(self):
+        """Guards against nodes that reconnect to a returning one together."""
+        cluster, _ = start(THREE)
+        attempts = []
+
+        def observe(cluster, node, event, effects):
+            for effect in effects:
+                if isinstance(effect, fx.ConnectPeer):
+                    attempts.append(cluster.now)
+
+        cluster.observers.append(observe)
+        cluster.kill("yumbo-3")
+        cluster.run(cluster.now + 60_000)
+        assert 20 <= len(attempts) <= 120
+
+    def test_discovers_nodes_outside_settings(self):
+        """Guards against replaced VMs that nobody links to."""
+        cluster = shared_fakes.Cluster(1, THREE)
+        listed = cluster.settings["nodes"]
+        cluster.settings = {"nodes": listed[:2]}
+        cluster.start("yumbo-1", "yumbo-2")
+        cluster.settings = {"nodes": listed}
+        cluster.start("yumbo-3")
+        cluster.run(25_000)
+        for node in cluster.nodes.values():
+            assert len(membership.alive(node.state, "yumbo")) == 3
+
+    def test_leave_is_immediate(self):
+        """Guards against suspicion of a node that announced its stop."""
+        cluster, _ = start(THREE)
+        cluster.call("yumbo-3", membership.leave, ["yumbo/0"])
+        cluster.run(cluster.now + 200)
+        state = cluster.nodes["yumbo-1"].state
+        assert membership.alive(state, "yumbo") == ["yumbo-1", "yumbo-2"]
+        rows = {row["node"]: row for row in membership.list_nodes(state)}
+        assert rows["yumbo-3"]["state"] == "down"
+        assert rows["yumbo-2"]["reachable"]
+
+    def test_member_changed_is_raised(self):
+        """Guards against modules that never learn of a failure."""
+        cluster, _ = start(THREE)
+        state = cluster.nodes["yumbo-1"].state
+        raised = []
+        state.raise_event = raised.append
+        cluster.call("yumbo-3", membership.leave, [])
+        cluster.run(cluster.now + 200)
+        changes = [e for e in raised if isinstance(e, events.MemberChanged)]
+        assert (changes[0].node, changes[0].state) == ("yumbo-3", "down")
--- /dev/null
+++ b/tests/core/test_ownership.py
@@ -0,0 +1,242 @@
+"""Tests of node leases and partition ownership."""
+
+from tests.core import shared_fakes
+
+from skylarklug import events
+from skylarklug import ownership
+
+THREE = {"yumbo": 3}
+
+
+def start(seed=1, partitions=3, run_ms=10_000, sizes=THREE):
+    cluster = shared_fakes.Cluster(seed, sizes, partitions=partitions)
+    cluster.raised = []
+    cluster.start()
+    for node in cluster.nodes.values():
+        watch(cluster, node)
+    cluster.run(run_ms)
+    return cluster
+
+
+def watch(cluster, node):
+    """Records internal events of a node."""
+    state = node.state
+    original = state.raise_event
+
+    def record(event):
+        cluster.raised.append((cluster.now, node.name, event))
+        original(event)
+
+    state.raise_event = record
+
+
+def raised(cluster, event_type, since=0):
+    return [
+        (at, name, event)
+        for at, name, event in cluster.raised
+        if isinstance(event, event_type) and at >= since
+    ]
+
+
+def owners(cluster, count=3):
+    """Returns (partition, node, epoch) for each ownership in mode held."""
+    return [
+        (f"yumbo/{index}", node.name, epoch)
+        for index in range(count)
+        for node in cluster.nodes.values()
+        if node.state is not None
+        and (epoch := ownership.epoch_of(node.state, f"yumbo/{index}"))
+        and ownership.mode(node.state) == "held"
+    ]
+
+
+def owner(cluster):
+    return owners(cluster, 1)[0][1]
+
+
+class TestStart:
+    def test_each_partition_has_one_owner(self):
+        """Guards against unowned partitions and against two owners."""
+        for seed in range(5):
+            cluster = start(seed)
+            found = owners(cluster)
+            assert [name for name, _, _ in found] == [
+                f"yumbo/{index}" for index in range(3)
+            ]
+            assert len({node for _, node, _ in found}) == 3
+
+    def test_several_starts_cause_few_conflicts(self):
+        """Guards against a write storm when all nodes start at once."""
+        for seed in range(10):
+            cluster = start(seed)
+            assert cluster.table.stats["conflicts"] <= 2, f"seed {seed}"
+
+    def test_new_partition_was_not_taken_over(self):
+        """Guards against the long wait of a take-over at a first start."""
+        cluster = start()
+        found = raised(cluster, events.PartitionAcquired)
+        assert [event.taken_over for _, _, event in found] == [False] * 3
+        rows = ownership.list_partitions(cluster.nodes["yumbo-1"].state)
+        assert [row["epoch"] for row in rows] == [1, 1, 1]
+
+
+class TestTakeOver:
+    def test_crash_is_fenced_after_the_lease(self):
+        """Guards against early take-over, and against one later than 25 s."""
+        cluster = start(partitions=1)
+        name = owner(cluster)
+        cluster.kill(name)
+        killed_at = cluster.now
+        cluster.run(killed_at + 25_000)
+        at, other, event = raised(cluster, events.PartitionAcquired, killed_at)[
+            0
+        ]
+        assert other != name
+        assert (event.epoch, event.taken_over) == (2, True)
+        assert 9_000 <= at - killed_at <= 20_000
+        assert cluster.table.rows[f"node/{name}"][1]["state"] == "fenced"
+
+    def test_fenced_node_drops_before_any_effect(self):
+        """Guards against two owners after a pause beyond the lease."""
+        cluster = start(partitions=1)
+        name = owner(cluster)
+        cluster.pause(name, 30_000)
+        cluster.run(cluster.now + 29_000)
+        state = cluster.nodes[name].state
+        state.now = cluster.now + 1_100
+        assert ownership.mode(state) == "suspended"
+        cluster.run(cluster.now + 3_000)
+        assert ownership.epoch_of(state, "yumbo/0") == 0
+        lost = raised(cluster, events.PartitionLost)
+        assert [(n, event.reason) for _, n, event in lost] == [(name, "fenced")]
+        checked = raised(cluster, events.LeaseChecked)
+        assert any(e.held_until == 0 for _, n, e in checked if n == name)
+        cluster.run(cluster.now + 10_000)
+        assert ownership.mode(state) == "held"
+
+    def test_restart_takes_its_partition_back_soon(self):
+        """Guards against a restarted node that waits for its own lease."""
+        cluster = start(partitions=1)
+        name = owner(cluster)
+        cluster.start(name)
+        watch(cluster, cluster.nodes[name])
+        restarted_at = cluster.now
+        cluster.run(restarted_at + 6_000)
+        at, _, event = raised(cluster, events.PartitionAcquired, restarted_at)[
+            0
+        ]
+        assert event.epoch == 2
+        assert event.taken_over
+
+    def test_short_pause_keeps_the_partition(self):
+        """Guards against a change of owner at every short pause."""
+        cluster = start(partitions=1)
+        cluster.pause(owner(cluster), 5_000)
+        cluster.run(cluster.now + 20_000)
+        assert raised(cluster, events.PartitionLost) == []
+
+    def test_lost_answers_do_not_change_owners(self):
+        """Guards against a node that takes its own renewal for a fence."""
+        for seed in range(5):
+            cluster = start(seed)
+            cluster.table.lose_answers = 0.3
+            cluster.run(60_000)
+            assert raised(cluster, events.PartitionLost) == [], f"seed {seed}"
+
+    def test_lost_answer_to_a_claim_is_found(self):
+        """Guards against a partition claimed by a node that doesn't know."""
+        for seed in range(10):
+            cluster = start(seed, run_ms=2_000)
+            cluster.table.lose_answers = 0.6
+            cluster.run(20_000)
+            cluster.heal()
+            cluster.run(40_000)
+            assert len(owners(cluster)) == 3, f"seed {seed}"
+
+
+class TestOutage:
+    def test_freezes_ownership(self):
+        """Guards against owners that change when an outage ends."""
+        cluster = start()
+        before = owners(cluster)
+        cluster.table.outage = True
+        cluster.run(100_000)
+        modes = {ownership.mode(n.state) for n in cluster.nodes.values()}
+        assert modes == {"detached"}
+        cluster.heal()
+        cluster.run(130_000)
+        assert owners(cluster) == before
+
+    def test_detach_limit_ends_all_action(self):
+        """Guards against an owner that renews tasks for ever."""
+        cluster = start(run_ms=10_000)
+        cluster.table.outage = True
+        cluster.run(10_000 + 905_000)
+        modes = {ownership.mode(n.state) for n in cluster.nodes.values()}
+        assert modes == {"suspended"}
+
+    def test_pause_while_detached_suspends(self):
+        """Guards against a resumed owner that acts on an old lease."""
+        cluster = start(partitions=1)
+        name = owner(cluster)
+        state = cluster.nodes[name].state
+        cluster.table.outage = True
+        cluster.run(40_000)
+        assert ownership.mode(state) == "detached"
+        cluster.pause(name, 3_000)
+        cluster.run(43_100)
+        assert ownership.mode(state) == "suspended"
+        cluster.run(60_000)
+        assert ownership.mode(state) == "detached"
+
+
+class TestRelease:
+    def test_peer_takes_over_at_once(self):
+        """Guards against a planned stop that waits for the lease to end."""
+        for seed in range(5):
+            cluster = start(seed, partitions=1)
+            name = owner(cluster)
+            results = []
+
+            def done(state, effects, result, results=results):
+                results.append(result.status)
+
+            released_at = cluster.now
+            cluster.call(name, ownership.release_all, done)
+            assert ownership.epoch_of(cluster.nodes[name].state, "yumbo/0") == 0
+            cluster.run(released_at + 5_000)
+            assert results == ["committed"]
+            at, other, event = raised(
+                cluster, events.PartitionAcquired, released_at
+            )[0]
+            assert other != name
+            assert (event.epoch, event.taken_over) == (2, False)
+            assert at - released_at <= 3_500, f"seed {seed}"
+
+    def test_outage_does_not_block_the_stop(self):
+        """Guards against a stop that hangs until the table returns."""
+        cluster = start(partitions=1)
+        name = owner(cluster)
+        results = []
+        cluster.table.outage = True
+
+        def done(state, effects, result):
+            results.append(result.status)
+
+        cluster.call(name, ownership.release_all, done)
+        cluster.run(cluster.now + 20_000)
+        assert results == ["unavailable"]
+
+
+class TestBalance:
+    def test_late_nodes_get_their_share(self):
+        """Guards against one node that owns everything for good."""
+        cluster = shared_fakes.Cluster(2, THREE, partitions=3)
+        cluster.start("yumbo-1")
+        cluster.run(10_000)
+        cluster.start("yumbo-2", "yumbo-3")
+        cluster.run(60_000)
+        found = owners(cluster)
+        assert len({node for _, node, _ in found}) == 3
+        moved = [epoch for _, _, epoch in found]
+        assert sorted(moved) == [1, 2, 2]
