--- a/packages/standins/src/skylarklug_standins/agent.py
+++ b/packages/standins/src/skylarklug_standins/agent.py
@@ -102,9 +102,16 @@
             return self._response("stale-epoch", [], None)
         self._take_epoch(message["epoch"], message["node"])
         self._renew(message["lease_until"])
-        pending = []
+        pending = set()
         for command in message["commands"]:
-            pending += self._command(command, message["lease_until"])
+            pending.update(self._command(command, message["lease_until"]))
+        # Stops under way, also those of an expired lease, are reported with
+        # their checkpoint rather than as still running.
+        pending.update(
+            self._jobs[run.task, run.attempt]
+            for run in self.runs.values()
+            if run.stopping
+        )
         if pending:
             await asyncio.wait(pending, timeout=COMMAND_WAIT_MS / 1000)
         self.advance()
--- a/packages/standins/src/skylarklug_standins/vmlist.py
+++ b/packages/standins/src/skylarklug_standins/vmlist.py
@@ -75,24 +75,25 @@
         """Returns `GET /vms` and the routes that change the list."""
         return [(r"/vms", _ListHandler), (r"/vms/([^/]+)", _VmHandler)]
 
-    def put(self, vm: dict[str, Any], at: int | None = None):
-        """Adds or replaces a VM.
+    def put(self, vm: dict[str, Any]):
+        """Adds or replaces a VM."""
+        self._vms[vm["vm"]] = copy.deepcopy(vm)
+        self._changed(self._clock())
 
-        With `at`, the change counts as made at that time; a deployment uses
-        it to list its first workers without lag.
-        """
+    def put_initial(self, vm: dict[str, Any]):
+        """Adds a VM that readers see at once, as if it had always been."""
         self._vms[vm["vm"]] = copy.deepcopy(vm)
-        self._changed(at)
+        self._changed(self._clock() - self.lag_ms)
 
     def set_state(self, vm: str, state: str):
         """Sets the state of a listed VM; raises KeyError when unknown."""
         self._vms[vm] = {**self._vms[vm], "state": state}
-        self._changed()
+        self._changed(self._clock())
 
     def remove(self, vm: str):
         """Removes a terminated VM; raises KeyError when unknown."""
         del self._vms[vm]
-        self._changed()
+        self._changed(self._clock())
 
     def visible(self) -> dict[str, Any]:
         """Returns the list as readers see it now."""
@@ -102,10 +103,9 @@
         _, version, vms = self._history[0]
         return {"version": version, "vms": list(vms.values())}
 
-    def _changed(self, at=None):
+    def _changed(self, at):
         self._version += 1
-        when = self._clock() if at is None else at
-        self._history.append((when, self._version, dict(self._vms)))
+        self._history.append((at, self._version, dict(self._vms)))
 
 
 class _ListHandler(faults.FaultyHandler):
--- a/tests/standins/support.py
+++ b/tests/standins/support.py
@@ -1,5 +1,6 @@
 """Helpers shared by the tests of the stand-ins."""
 
+import asyncio
 import json
 
 from tornado import httpclient
@@ -127,3 +128,28 @@
         (task["task"], task["attempt"]): task["state"]
         for task in response["tasks"]
     }
+
+
+def decorator(scenario):
+    """Turns an async test method into one that pytest runs.
+
+    `scenario(self, test)` is a coroutine function that calls the test with
+    what it needs.
+    """
+
+    def decorate(test):
+        def run(self):
+            asyncio.run(scenario(self, test))
+
+        run.__name__ = test.__name__
+        run.__doc__ = test.__doc__
+        return run
+
+    return decorate
+
+
+@decorator
+async def with_agent(self, test):
+    """Runs an async test method with a new bench and one of its agents."""
+    bench = Bench()
+    await test(self, bench, bench.agent())
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -1,7 +1,5 @@
 """Tests of the table, the object store and the VM list."""
 
-import asyncio
-
 from tests.standins import support
 
 from skylarklug_standins import objects
@@ -9,17 +7,18 @@
 from skylarklug_standins import vmlist
 
 
-def with_standin(standin, scenario):
-    """Runs the coroutine function `scenario` against a started stand-in."""
+def with_standin(factory):
+    """Runs an async test method against a started stand-in."""
 
-    async def run():
+    async def scenario(self, test):
+        standin = factory()
         await standin.start()
         try:
-            await scenario()
+            await test(self, standin)
         finally:
             await standin.stop()
 
-    asyncio.run(run())
+    return support.decorator(scenario)
 
 
 async def transact(table, checks, writes):
@@ -36,102 +35,86 @@
 
 
 class TestTable:
-    def test_conflict_shows_failed_rows_and_writes_nothing(self):
+    @with_standin(table_lib.Table)
+    async def test_conflict_shows_failed_rows_and_writes_nothing(self, table):
         """Guards against partial transactions and unexplained conflicts."""
-        table = table_lib.Table()
-
-        async def scenario():
-            status, body = await transact(table, [("a", 0)], [("a", {"n": 1})])
-            assert (status, body) == (
-                200,
-                {"status": "committed", "version": 1},
-            )
-            status, body = await transact(
-                table, [("a", 0), ("b", 0)], [("b", {"n": 2})]
-            )
-            assert status == 409
-            assert body == {
-                "status": "conflict",
-                "rows": [{"key": "a", "version": 1, "value": {"n": 1}}],
-            }
-            assert table.get("b") == (0, None)
-
-        with_standin(table, scenario)
-
-    def test_version_zero_means_absent_also_after_a_deletion(self):
+        status, body = await transact(table, [("a", 0)], [("a", {"n": 1})])
+        assert (status, body) == (
+            200,
+            {"status": "committed", "version": 1},
+        )
+        status, body = await transact(
+            table, [("a", 0), ("b", 0)], [("b", {"n": 2})]
+        )
+        assert status == 409
+        assert body == {
+            "status": "conflict",
+            "rows": [{"key": "a", "version": 1, "value": {"n": 1}}],
+        }
+        assert table.get("b") == (0, None)
+
+    @with_standin(table_lib.Table)
+    async def test_version_zero_means_absent_also_after_a_deletion(self, table):
         """Guards against a deleted row that can't be created again."""
-        table = table_lib.Table()
-
-        async def scenario():
-            await transact(table, [], [("a", {})])
-            status, _ = await transact(table, [("a", 1)], [("a", None)])
-            assert status == 200
-            status, body = await transact(table, [("a", 2)], [("a", {})])
-            assert status == 409
-            assert body["rows"][0]["version"] == 0
-            status, body = await transact(table, [("a", 0)], [("a", {})])
-            assert (status, body["version"]) == (200, 3)
-
-        with_standin(table, scenario)
-
-    def test_prefix_read_after_version_shows_changes_and_deletions(self):
+        await transact(table, [], [("a", {})])
+        status, _ = await transact(table, [("a", 1)], [("a", None)])
+        assert status == 200
+        status, body = await transact(table, [("a", 2)], [("a", {})])
+        assert status == 409
+        assert body["rows"][0]["version"] == 0
+        status, body = await transact(table, [("a", 0)], [("a", {})])
+        assert (status, body["version"]) == (200, 3)
+
+    @with_standin(table_lib.Table)
+    async def test_prefix_read_after_version_shows_changes_and_deletions(
+        self, table
+    ):
         """Guards against readers that never learn of a deletion."""
-        table = table_lib.Table()
-
-        async def scenario():
-            await transact(table, [], [("j/1", {}), ("j/2", {}), ("k", {})])
-            await transact(table, [], [("j/2", None), ("j/3", {})])
-            _, full = await read(table, prefixes=["j/"])
-            assert [row["key"] for row in full["rows"]] == ["j/1", "j/3"]
-            _, changed = await read(table, prefixes=["j/"], after_version=1)
-            assert changed["version"] == 2
-            assert changed["rows"] == [
-                {"key": "j/2", "version": 2, "value": None},
-                {"key": "j/3", "version": 2, "value": {}},
-            ]
-            _, named = await read(table, keys=["none"], prefixes=["k"])
-            assert [row["version"] for row in named["rows"]] == [0, 1]
-
-        with_standin(table, scenario)
+        await transact(table, [], [("j/1", {}), ("j/2", {}), ("k", {})])
+        await transact(table, [], [("j/2", None), ("j/3", {})])
+        _, full = await read(table, prefixes=["j/"])
+        assert [row["key"] for row in full["rows"]] == ["j/1", "j/3"]
+        _, changed = await read(table, prefixes=["j/"], after_version=1)
+        assert changed["version"] == 2
+        assert changed["rows"] == [
+            {"key": "j/2", "version": 2, "value": None},
+            {"key": "j/3", "version": 2, "value": {}},
+        ]
+        _, named = await read(table, keys=["none"], prefixes=["k"])
+        assert [row["version"] for row in named["rows"]] == [0, 1]
 
-    def test_malformed_bodies_are_refused(self):
+    @with_standin(table_lib.Table)
+    async def test_malformed_bodies_are_refused(self, table):
         """Guards against adapters whose mistakes pass unnoticed."""
-        table = table_lib.Table()
-
-        async def scenario():
-            url = f"{table.url}/transaction"
-            for body in (
-                {"op_id": "x", "checks": []},
-                {"op_id": "x", "checks": [], "writes": [{"key": "a"}]},
-                {"op_id": "x", "checks": [], "writes": [], "more": 1},
-            ):
-                status, _ = await support.fetch_json(url, "POST", body)
-                assert status == 400
-            assert table.version == 0
-
-        with_standin(table, scenario)
+        url = f"{table.url}/transaction"
+        for body in (
+            {"op_id": "x", "checks": []},
+            {"op_id": "x", "checks": [], "writes": [{"key": "a"}]},
+            {"op_id": "x", "checks": [], "writes": [], "more": 1},
+        ):
+            status, _ = await support.fetch_json(url, "POST", body)
+            assert status == 400
+        assert table.version == 0
 
 
 class TestFaults:
-    def test_outage_has_no_effect(self):
+    @with_standin(table_lib.Table)
+    async def test_outage_has_no_effect(self, table):
         """Guards against a 503 whose write took effect."""
-        table = table_lib.Table()
-
-        async def scenario():
-            url = f"{table.url}/faults"
-            await support.fetch_json(url, "POST", {"outage": True})
-            status, _ = await transact(table, [], [("a", {})])
-            assert status == 503
-            assert table.version == 0
-            await support.fetch_json(url, "POST", {"outage": False})
-            status, _ = await transact(table, [], [("a", {})])
-            assert status == 200
-
-        with_standin(table, scenario)
-
-    def test_lost_answers_take_effect_and_repeat_with_the_seed(self):
+        url = f"{table.url}/faults"
+        await support.fetch_json(url, "POST", {"outage": True})
+        status, _ = await transact(table, [], [("a", {})])
+        assert status == 503
+        assert table.version == 0
+        await support.fetch_json(url, "POST", {"outage": False})
+        status, _ = await transact(table, [], [("a", {})])
+        assert status == 200
+
+    @with_standin(table_lib.Table)
+    async def test_lost_answers_take_effect_and_repeat_with_the_seed(
+        self, table
+    ):
         """Guards against lost answers that differ between two runs."""
-        table = table_lib.Table()
 
         async def lost():
             body = {"lose_answers": 0.5, "seed": 11}
@@ -143,52 +126,41 @@
             ]
             return [a is None or a.code == 599 for a in answers]
 
-        async def scenario():
-            first = await lost()
-            assert table.version == 20
-            assert True in first and False in first
-            assert await lost() == first
-
-        with_standin(table, scenario)
+        first = await lost()
+        assert table.version == 20
+        assert True in first and False in first
+        assert await lost() == first
 
-    def test_delay_and_unknown_faults(self):
+    @with_standin(table_lib.Table)
+    async def test_delay_and_unknown_faults(self, table):
         """Guards against a fault that is set by a mistyped name."""
-        table = table_lib.Table()
-
-        async def scenario():
-            url = f"{table.url}/faults"
-            await support.fetch_json(url, "POST", {"delay_ms": 300})
-            body = {"op_id": "x", "checks": [], "writes": []}
-            late = await support.fetch(
-                f"{table.url}/transaction", "POST", body, timeout=0.1
-            )
-            assert late is None or late.code == 599
-            status, _ = await support.fetch_json(url, "POST", {"delay": 1})
-            assert status == 400
-            assert table.faults.delay_ms == 300
-
-        with_standin(table, scenario)
+        url = f"{table.url}/faults"
+        await support.fetch_json(url, "POST", {"delay_ms": 300})
+        body = {"op_id": "x", "checks": [], "writes": []}
+        late = await support.fetch(
+            f"{table.url}/transaction", "POST", body, timeout=0.1
+        )
+        assert late is None or late.code == 599
+        status, _ = await support.fetch_json(url, "POST", {"delay": 1})
+        assert status == 400
+        assert table.faults.delay_ms == 300
 
 
 class TestObjectStore:
-    def test_put_get_delete_and_outage(self):
+    @with_standin(objects.ObjectStore)
+    async def test_put_get_delete_and_outage(self, store):
         """Guards against torn or invented objects."""
-        store = objects.ObjectStore()
-
-        async def scenario():
-            url = f"{store.url}/objects/snapshot/yumbo/0"
-            assert (await support.fetch(url)).code == 404
-            body = bytes(range(256))
-            assert (await support.fetch(url, "PUT", body)).code == 200
-            assert (await support.fetch(url)).body == body
-            store.faults.set(outage=True)
-            assert (await support.fetch(url)).code == 503
-            assert (await support.fetch(url, "DELETE")).code == 503
-            store.faults.set()
-            assert (await support.fetch(url, "DELETE")).code == 200
-            assert (await support.fetch(url, "DELETE")).code == 404
-
-        with_standin(store, scenario)
+        url = f"{store.url}/objects/snapshot/yumbo/0"
+        assert (await support.fetch(url)).code == 404
+        body = bytes(range(256))
+        assert (await support.fetch(url, "PUT", body)).code == 200
+        assert (await support.fetch(url)).body == body
+        store.faults.set(outage=True)
+        assert (await support.fetch(url)).code == 503
+        assert (await support.fetch(url, "DELETE")).code == 503
+        store.faults.set()
+        assert (await support.fetch(url, "DELETE")).code == 200
+        assert (await support.fetch(url, "DELETE")).code == 404
 
 
 def vm_body(name):
@@ -211,7 +183,7 @@
         """Guards against a list that is fresher than the platform's."""
         clock = support.Clock()
         vms = vmlist.VmList(lag_ms=3_000, clock=clock)
-        vms.put(vm_body("w-1"), at=clock.now - 3_000)
+        vms.put_initial(vm_body("w-1"))
         clock.now += 1_000
         vms.set_state("w-1", "leaving")
         clock.now += 1_000
@@ -219,31 +191,22 @@
         seen = []
         for _ in range(4):
             listing = vms.visible()
-            states = [vm["state"] for vm in listing["vms"]]
+            states = " ".join(vm["state"] for vm in listing["vms"])
             seen.append((listing["version"], states))
             clock.now += 1_000
-        assert seen == [
-            (1, ["live"]),
-            (1, ["live"]),
-            (2, ["leaving"]),
-            (3, []),
-        ]
+        assert seen == [(1, "live"), (1, "live"), (2, "leaving"), (3, "")]
 
-    def test_changes_by_http(self):
+    @with_standin(vmlist.VmList)
+    async def test_changes_by_http(self, vms):
         """Guards against a test bench that can't change the list."""
-        vms = vmlist.VmList()
-
-        async def scenario():
-            url = f"{vms.url}/vms"
-            one = f"{url}/w-1"
-            body = {"state": "leaving"}
-            assert (await support.fetch_json(one, "POST", body))[0] == 404
-            await support.fetch_json(one, "PUT", vm_body("w-1"))
-            await support.fetch_json(one, "POST", body)
-            _, listing = await support.fetch_json(url)
-            assert listing["vms"] == [vm_body("w-1") | body]
-            assert (await support.fetch_json(one, "PUT", body))[0] == 400
-            assert (await support.fetch_json(one, "DELETE"))[0] == 200
-            assert (await support.fetch_json(url))[1]["vms"] == []
-
-        with_standin(vms, scenario)
+        url = f"{vms.url}/vms"
+        one = f"{url}/w-1"
+        body = {"state": "leaving"}
+        assert (await support.fetch_json(one, "POST", body))[0] == 404
+        await support.fetch_json(one, "PUT", vm_body("w-1"))
+        await support.fetch_json(one, "POST", body)
+        _, listing = await support.fetch_json(url)
+        assert listing["vms"] == [vm_body("w-1") | body]
+        assert (await support.fetch_json(one, "PUT", body))[0] == 400
+        assert (await support.fetch_json(one, "DELETE"))[0] == 200
+        assert (await support.fetch_json(url))[1]["vms"] == []
--- a/tests/standins/test_worker.py
+++ b/tests/standins/test_worker.py
@@ -11,10 +11,10 @@
 from skylarklug_standins import worker as worker_lib
 
 
-def with_worker(scenario, slots=8, connections=64):
-    """Runs `scenario(worker)` against a started worker."""
+def with_worker(slots=8, connections=64):
+    """Runs an async test method against a started worker."""
 
-    async def run():
+    async def scenario(self, test):
         store = objects.ObjectStore()
         await store.start()
         worker = worker_lib.Worker(
@@ -30,12 +30,12 @@
         )
         await worker.start()
         try:
-            await scenario(worker)
+            await test(self, worker)
         finally:
             await worker.kill()
             await store.stop()
 
-    asyncio.run(run())
+    return support.decorator(scenario)
 
 
 def url(worker, query=""):
@@ -62,153 +62,117 @@
 
 
 class TestServing:
-    def test_answers_name_the_request(self):
+    @with_worker()
+    async def test_answers_name_the_request(self, worker):
         """Guards against answers that can't be matched with a request."""
-
-        async def scenario(worker):
-            headers = {"Skylarklug-Request-Id": "r-7"}
-            response = await support.fetch(
-                url(worker, "size=100000&status=201"), headers=headers
-            )
-            body = json.loads(response.body)
-            assert response.code == 201
-            assert (body["token"], body["request_id"]) == ("r-7", "r-7")
-            assert len(body["padding"]) == 100_000
-            assert worker.ledger.requests == {"r-7": ["w-1"]}
-            assert worker.ledger.completed == {"r-7": 1}
-
-        with_worker(scenario)
-
-    def test_guard_refuses_before_running(self):
+        headers = {"Skylarklug-Request-Id": "r-7"}
+        response = await support.fetch(
+            url(worker, "size=100000&status=201"), headers=headers
+        )
+        body = json.loads(response.body)
+        assert response.code == 201
+        assert (body["token"], body["request_id"]) == ("r-7", "r-7")
+        assert len(body["padding"]) == 100_000
+        assert worker.ledger.requests == {"r-7": ["w-1"]}
+        assert worker.ledger.completed == {"r-7": 1}
+
+    @with_worker(slots=2)
+    async def test_guard_refuses_before_running(self, worker):
         """Guards against a refusal of a request that ran."""
-
-        async def scenario(worker):
-            calls = [
-                support.fetch(url(worker, f"ms=200&token={n}"))
-                for n in range(5)
-            ]
-            responses = await asyncio.gather(*calls)
-            refused = [r for r in responses if r.code == 503]
-            assert len(refused) == 3
-            for response in refused:
-                assert response.headers["Skylarklug-Outcome"] == "not-run"
-            assert len(worker.ledger.requests) == 2
-            assert worker.most_in_flight == 2
-
-        with_worker(scenario, slots=2)
-
-    def test_connections_beyond_the_limit_are_refused(self):
+        calls = [
+            support.fetch(url(worker, f"ms=200&token={n}")) for n in range(5)
+        ]
+        responses = await asyncio.gather(*calls)
+        refused = [r for r in responses if r.code == 503]
+        assert len(refused) == 3
+        for response in refused:
+            assert response.headers["Skylarklug-Outcome"] == "not-run"
+        assert len(worker.ledger.requests) == 2
+        assert worker.most_in_flight == 2
+
+    @with_worker(connections=3)
+    async def test_connections_beyond_the_limit_are_refused(self, worker):
         """Guards against a node that opens too many connections."""
+        calls = [support.fetch(url(worker, "ms=200")) for _ in range(4)]
+        responses = await asyncio.gather(*calls)
+        assert sorted(r.code for r in responses) == [200, 200, 200, 503]
+        assert (await support.fetch(url(worker))).code == 200
 
-        async def scenario(worker):
-            calls = [support.fetch(url(worker, "ms=200")) for _ in range(4)]
-            responses = await asyncio.gather(*calls)
-            assert sorted(r.code for r in responses) == [200, 200, 200, 503]
-            assert (await support.fetch(url(worker))).code == 200
-
-        with_worker(scenario, connections=3)
-
-    def test_leaving_worker_refuses_and_says_so(self):
+    @with_worker()
+    async def test_leaving_worker_refuses_and_says_so(self, worker):
         """Guards against new work on a worker that is about to end."""
-
-        async def scenario(worker):
-            running = asyncio.create_task(
-                support.fetch(url(worker, "ms=200&token=a"))
-            )
-            await asyncio.sleep(0.1)
-            await support.fetch_json(
-                f"{worker.control.url}/test", "POST", {"op": "leave"}
-            )
-            refused = await support.fetch(url(worker, "token=b"))
-            assert refused.code == 503
-            assert refused.headers["Skylarklug-Leaving"] == "true"
-            finished = await running
-            assert finished.code == 200
-            assert finished.headers["Skylarklug-Leaving"] == "true"
-            assert list(worker.ledger.requests) == ["a"]
-
-        with_worker(scenario)
-
-    def test_noisy_task_inflates_service_time(self):
+        running = asyncio.create_task(
+            support.fetch(url(worker, "ms=200&token=a"))
+        )
+        await asyncio.sleep(0.1)
+        await support.fetch_json(
+            f"{worker.control.url}/test", "POST", {"op": "leave"}
+        )
+        refused = await support.fetch(url(worker, "token=b"))
+        assert refused.code == 503
+        assert refused.headers["Skylarklug-Leaving"] == "true"
+        finished = await running
+        assert finished.code == 200
+        assert finished.headers["Skylarklug-Leaving"] == "true"
+        assert list(worker.ledger.requests) == ["a"]
+
+    @with_worker()
+    async def test_noisy_task_inflates_service_time(self, worker):
         """Guards against interference that requests don't feel."""
-
-        async def scenario(worker):
-            noisy = support.start(
-                "n", run_time_ms=60_000, payload={"noise": 9.0}
-            )
-            await sync(worker, noisy)
-            await support.fetch(url(worker, "ms=10"))
-            latencies = worker.agent._latencies["certvault"]
-            assert latencies == [100.0]
-
-        with_worker(scenario)
+        noisy = support.start("n", run_time_ms=60_000, payload={"noise": 9.0})
+        await sync(worker, noisy)
+        await support.fetch(url(worker, "ms=10"))
+        latencies = worker.agent._latencies["certvault"]
+        assert latencies == [100.0]
 
 
 class TestControl:
-    def test_sync_over_cbor(self):
+    @with_worker()
+    async def test_sync_over_cbor(self, worker):
         """Guards against a control side that differs from section 4."""
+        response = await sync(worker, support.start("a"))
+        assert " ".join(response) == (
+            "status epoch clock revision leaving tasks usage"
+        )
+        (task,) = response["tasks"]
+        assert (task["state"], task["progress"]) == ("running", 0.0)
+        assert " ".join(task) == (
+            "task attempt state checkpoint reason progress"
+        )
+        bad = {"op": "throttle", "task": "a", "attempt": 1}
+        assert await sync(worker, bad) == 400
+        assert await sync(worker, epoch="one") == 400
 
-        async def scenario(worker):
-            response = await sync(worker, support.start("a"))
-            assert set(response) == {
-                "status",
-                "epoch",
-                "clock",
-                "revision",
-                "leaving",
-                "tasks",
-                "usage",
-            }
-            assert response["tasks"] == [
-                {
-                    "task": "a",
-                    "attempt": 1,
-                    "state": "running",
-                    "checkpoint": None,
-                    "reason": "",
-                    "progress": 0.0,
-                }
-            ]
-            bad = {"op": "throttle", "task": "a", "attempt": 1}
-            assert await sync(worker, bad) == 400
-            assert await sync(worker, epoch="one") == 400
-
-        with_worker(scenario)
-
-    def test_lease_expires_without_any_message(self):
+    @with_worker()
+    async def test_lease_expires_without_any_message(self, worker):
         """Guards against expiry that only a later sync notices."""
-
-        async def scenario(worker):
-            await sync(worker, support.start("a"), lease=300)
-            for _ in range(100):
-                await asyncio.sleep(0.05)
-                if not worker.agent.runs:
-                    break
-            response = await sync(worker, lease=0)
-            assert support.states(response) == {("a", 1): "stopped"}
-            assert len(worker.ledger.record("a").units) <= 3
-
-        with_worker(scenario)
-
-    def test_pause_holds_answers_and_kill_closes_connections(self):
+        await sync(worker, support.start("a"), lease=300)
+        for _ in range(100):
+            await asyncio.sleep(0.05)
+            if not worker.agent.runs:
+                break
+        response = await sync(worker, lease=0)
+        assert support.states(response) == {("a", 1): "stopped"}
+        assert len(worker.ledger.record("a").units) <= 3
+
+    @with_worker()
+    async def test_pause_holds_answers_and_kill_closes_connections(
+        self, worker
+    ):
         """Guards against controls that leave the worker answering."""
-
-        async def scenario(worker):
-            worker.pause()
-            assert (await _no_answer(url(worker), 0.2)) is True
-            worker.resume()
-            assert (await support.fetch(url(worker))).code == 200
-            running = asyncio.create_task(support.fetch(url(worker, "ms=500")))
-            await asyncio.sleep(0.1)
-            await worker.kill()
-            response = await running
-            assert response is None or response.code == 599
-            assert await _no_answer(url(worker), 0.5)
-            await worker.start()
-            assert worker.agent.epoch == 0
-            assert (await support.fetch(url(worker))).code == 200
-
-        with_worker(scenario)
+        worker.pause()
+        assert (await _no_answer(url(worker), 0.2)) is True
+        worker.resume()
+        assert (await support.fetch(url(worker))).code == 200
+        running = asyncio.create_task(support.fetch(url(worker, "ms=500")))
+        await asyncio.sleep(0.1)
+        await worker.kill()
+        response = await running
+        assert response is None or response.code == 599
+        assert await _no_answer(url(worker), 0.5)
+        await worker.start()
+        assert worker.agent.epoch == 0
+        assert (await support.fetch(url(worker))).code == 200
 
 
 async def _no_answer(address, timeout):
