Join the decision modules in one reducer

Change: the reducer names its domains explicitly in place of an import by name, so that a missing module fails at import. Operators' lists take their rows from the owners of the data.

--- a/packages/core/src/skylarklug/commands.py
+++ b/packages/core/src/skylarklug/commands.py
@@ -10,6 +10,7 @@
 from skylarklug import jobs
 from skylarklug import lists
 from skylarklug import query
+from skylarklug import submission
 from skylarklug import workers
 
 # Questions whose answer needs rows that only other nodes hold.
@@ -187,7 +188,10 @@
     spec = dict(event.body)
     done = _finish(event)
     if event.dry_run:
-        jobs.check(state, event.key, spec)
+        _, errors = submission.check(event.key, spec)
+        if errors:
+            done(state, effects, "bad-input", {"errors": errors})
+            return
         done(state, effects, "done", {"message": "the job is valid"})
         return
     jobs.submit(state, effects, event.actor, event.key, spec, done)
@@ -338,7 +342,7 @@
     except exceptions.BadInput as exc:
         fields = {"step": exc.step, "peer": peer, "reason": exc.reason}
         effects.append(effect_types.Log("warning", "command", fields))
-        gather.answer(effects, peer, ident, [], [state.data_centre])
+        gather.answer(state, effects, peer, ident, [], [state.data_centre])
         return
     if isinstance(statement, query.Why):
         own = lists.explain(state, statement.kind, statement.ident)
@@ -347,11 +351,11 @@
     else:
         own = []
     if event.body.get("scope") != "data-centre":
-        gather.answer(effects, peer, ident, own, [])
+        gather.answer(state, effects, peer, ident, own, [])
         return
 
     def gathered(state, effects, result):
-        gather.answer(effects, peer, ident, result.rows, result.missing)
+        gather.answer(state, effects, peer, ident, result.rows, result.missing)
 
     text = event.body["text"]
     gather.ask(state, effects, text, "data-centre", own, gathered)
--- a/packages/core/src/skylarklug/gather.py
+++ b/packages/core/src/skylarklug/gather.py
@@ -8,7 +8,6 @@
 from typing import Any
 from typing import NamedTuple
 
-from skylarklug import effects as effect_types
 from skylarklug import events
 from skylarklug import membership
 from skylarklug import query
@@ -77,7 +76,7 @@
             waiting.missing.add(state.data_centre)
             continue
         waiting.open[node] = state.data_centre
-        _send(effects, node, ident, text, "node")
+        _send(state, effects, node, ident, text, "node")
     if scope == "deployment":
         _ask_other_data_centres(state, effects, waiting, ident, text)
     state.domains["gather"].waiting[ident] = waiting
@@ -85,38 +84,38 @@
 
 
 def _ask_other_data_centres(state, effects, waiting, ident, text):
-    for data_centre in membership.data_centres(state):
+    rows = membership.list_nodes(state)
+    for data_centre in sorted({row["data_centre"] for row in rows}):
         if data_centre == state.data_centre:
             continue
         for node in membership.alive(state, data_centre):
             if not membership.reachable(state, node):
                 continue
             waiting.open[node] = data_centre
-            _send(effects, node, ident, text, "data-centre")
+            _send(state, effects, node, ident, text, "data-centre")
             break
         else:
             waiting.missing.add(data_centre)
 
 
-def _send(effects, node, ident, text, scope):
-    body = {"kind": "command", "id": ident, "text": text, "scope": scope}
-    effects.append(effect_types.SendPeer(node, body))
+def _send(state, effects, node, ident, text, scope):
+    fields = {"id": ident, "text": text, "scope": scope}
+    membership.send(state, effects, node, "command", fields)
 
 
-def answer(effects, peer, ident, rows, missing) -> None:
+def answer(state, effects, peer, ident, rows, missing) -> None:
     """Sends rows back in frames below the frame size limit."""
     parts = max(1, -(-len(rows) // ROWS_PER_FRAME))
     for part in range(parts):
         first = part * ROWS_PER_FRAME
-        body = {
-            "kind": "command-answer",
+        fields = {
             "id": ident,
             "rows": rows[first : first + ROWS_PER_FRAME],
             "missing": sorted(missing),
             "part": part,
             "parts": parts,
         }
-        effects.append(effect_types.SendPeer(peer, body))
+        membership.send(state, effects, peer, "command-answer", fields)
 
 
 def _on_peer_message(state, event, effects):
--- a/packages/core/src/skylarklug/lists.py
+++ b/packages/core/src/skylarklug/lists.py
@@ -10,15 +10,29 @@
 from skylarklug import workers
 
 
+def _commitment(state, worker):
+    """Returns what only the owner of the worker's partition knows."""
+    account = placement.account_of(state, worker)
+    if account is None:
+        return {}
+    mcpus, memory_mb, accelerators = account.free
+    return {
+        "free_cpus": mcpus / 1000,
+        "free_memory_mb": memory_mb,
+        "free_accelerators": accelerators,
+        "tasks": len(account.residents),
+        "excluded": sorted(account.excluded),
+    }
+
+
 def _workers(state):
-    commitments = placement.list_commitments(state)
     drained = set(configuration.current(state).get("drained", ()))
     rows = []
     for row in workers.list_workers(state):
         row = dict(row)
         if row["worker"] in drained and row["state"] == "live":
             row["state"] = "drained"
-        row.update(commitments.get(row["worker"], {}))
+        row.update(_commitment(state, row["worker"]))
         rows.append(row)
     return rows
 
@@ -55,6 +69,38 @@
     return rows
 
 
+def _nodes(state):
+    owned = {}
+    for row in ownership.list_partitions(state):
+        owned.setdefault(row["owner"], []).append(row["partition"])
+    rows = []
+    for row in membership.list_nodes(state):
+        rows.append({**row, "partitions": owned.get(row["node"], [])})
+    return rows
+
+
+def _teams(state):
+    """Returns a row for each team and each partition that this node owns."""
+    rows = []
+    teams = configuration.current(state).get("teams", {})
+    owned = [
+        row["partition"]
+        for row in ownership.list_partitions(state)
+        if row["owner"] == state.node
+    ]
+    for partition in owned:
+        for team in sorted(teams):
+            mcpus, memory_mb, accelerators = quota.used(state, partition, team)
+            used = {
+                "used_cpus": mcpus / 1000,
+                "used_memory_mb": memory_mb,
+                "used_accelerators": accelerators,
+            }
+            identity = {"team": team, "partition": partition}
+            rows.append({**teams[team], **identity, **used})
+    return rows
+
+
 def _services(state):
     rows = []
     for row in routing.list_services(state):
@@ -84,9 +130,9 @@
     "workers": _workers,
     "racks": _racks,
     "data-centres": _data_centres,
-    "nodes": membership.list_nodes,
+    "nodes": _nodes,
     "services": _services,
-    "teams": quota.list_teams,
+    "teams": _teams,
     "partitions": ownership.list_partitions,
     "config": _config,
 }
@@ -100,8 +146,12 @@
 def explain(state, kind: str, ident: str) -> list[dict]:
     """Returns the reasons that this node has recorded about one thing."""
     if kind in ("task", "job"):
-        return jobs.explain(state, kind, ident)
-    found = routing.explain(state, kind, ident)
-    if kind == "worker":
-        found = [*found, *jobs.explain(state, kind, ident)]
+        found = jobs.explain(state, kind, ident)
+        found = [] if found is None else [found]
+    elif kind == "service":
+        found = [row for row in _services(state) if row["service"] == ident]
+    else:
+        found = routing.explain(state, kind, ident)
+    if kind == "worker" and _commitment(state, ident):
+        found = [*found, {"worker": ident, **_commitment(state, ident)}]
     return [{"node": state.node, **row} for row in found]
--- a/packages/core/src/skylarklug/query.py
+++ b/packages/core/src/skylarklug/query.py
@@ -17,32 +17,33 @@
 FIELDS = {
     "jobs": (
         "job", "team", "kind", "class", "state", "priority", "partition",
-        "tasks", "pending", "running", "finished", "failed", "reason",
+        "tasks", "pending", "running", "finished", "failed", "cancelled",
+        "version", "reason",
     ),
     "tasks": (
-        "task", "job", "team", "state", "attempt", "worker", "partition",
-        "checkpoint", "evictions", "reason",
+        "task", "job", "team", "kind", "state", "attempt", "worker",
+        "partition", "progress", "evictions", "failures", "reason",
     ),
     "workers": (
         "worker", "data_centre", "rack", "state", "partition", "cpus",
         "memory_mb", "accelerators", "free_cpus", "free_memory_mb",
-        "free_accelerators", "slots", "services", "tasks", "quarantine",
+        "free_accelerators", "tasks", "slots", "services", "excluded",
     ),
     "racks": ("rack", "data_centre", "workers", "live", "leaving"),
     "data-centres": ("data_centre", "workers", "live", "leaving", "nodes"),
     "nodes": (
-        "node", "data_centre", "region", "state", "version", "partitions",
-        "reachable",
+        "node", "data_centre", "region", "state", "reachable", "version",
+        "partitions",
     ),
     "services": (
-        "service", "data_centre", "node", "workers", "in_flight", "queued",
-        "ejected", "latency_ms",
+        "service", "node", "data_centre", "workers", "free_workers", "queue",
+        "mean_ms", "p95_ms",
     ),
     "teams": (
         "team", "partition", "cpus", "memory_mb", "accelerators", "weight",
         "used_cpus", "used_memory_mb", "used_accelerators",
     ),
-    "partitions": ("partition", "owner", "epoch", "mode"),
+    "partitions": ("partition", "data_centre", "owner", "epoch", "mode"),
     "config": ("key", "value"),
 }  # fmt: skip
 LISTS = tuple(FIELDS)
--- a/packages/core/src/skylarklug/reducer.py
+++ b/packages/core/src/skylarklug/reducer.py
@@ -1,59 +1,72 @@
 """The reducer: one function from state and event to effects."""
 
-import importlib
-
+from skylarklug import admission
+from skylarklug import commands
+from skylarklug import configuration
 from skylarklug import events
+from skylarklug import gather
+from skylarklug import health
+from skylarklug import interference
+from skylarklug import jobs
+from skylarklug import lease
+from skylarklug import limits
+from skylarklug import membership
+from skylarklug import ownership
+from skylarklug import placement
+from skylarklug import quarantine
+from skylarklug import quota
+from skylarklug import requests
+from skylarklug import retries
+from skylarklug import routing
+from skylarklug import spill
 from skylarklug import state as state_lib
+from skylarklug import stopping
+from skylarklug import table
+from skylarklug import workers
 
 # The order fixes which domain sees an event first. Table and ownership come
 # before the domains that act on their results.
-DOMAINS = (
-    "table",
-    "membership",
-    "ownership",
-    "configuration",
-    "workers",
-    "limits",
-    "admission",
-    "retries",
-    "health",
-    "routing",
-    "spill",
-    "requests",
-    "stopping",
-    "quota",
-    "quarantine",
-    "interference",
-    "jobs",
-    "lease",
-    "placement",
-    "gather",
-    "commands",
-)
+DOMAINS = {
+    "table": table,
+    "membership": membership,
+    "ownership": ownership,
+    "configuration": configuration,
+    "workers": workers,
+    "limits": limits,
+    "admission": admission,
+    "retries": retries,
+    "health": health,
+    "routing": routing,
+    "spill": spill,
+    "requests": requests,
+    "stopping": stopping,
+    "quota": quota,
+    "quarantine": quarantine,
+    "interference": interference,
+    "jobs": jobs,
+    "lease": lease,
+    "placement": placement,
+    "gather": gather,
+    "commands": commands,
+}
 
 
-def _load_domains():
+def _collect_handlers():
     handlers = {}
-    factories = {}
-    for name in DOMAINS:
-        try:
-            module = importlib.import_module(f"skylarklug.{name}")
-        except ModuleNotFoundError:
-            continue
-        factories[name] = module.new_state
+    for module in DOMAINS.values():
         for event_type, handler in module.HANDLERS.items():
             handlers.setdefault(event_type, []).append(handler)
-    return handlers, factories
+    return handlers
 
 
-HANDLERS, FACTORIES = _load_domains()
+HANDLERS = _collect_handlers()
 
 
 def new_state() -> state_lib.State:
     """Returns the state of a node that has not started."""
     state = state_lib.State()
-    for name, factory in FACTORIES.items():
-        state.domains[name] = factory()
+    for name, module in DOMAINS.items():
+        state.domains[name] = module.new_state()
     return state
 
 
