--- a/packages/core/src/skylarklug/configuration.py
+++ b/packages/core/src/skylarklug/configuration.py
@@ -12,6 +12,7 @@
 import json
 from typing import Annotated
 from typing import Any
+from typing import NamedTuple
 from typing import NotRequired
 
 import pydantic
@@ -131,6 +132,11 @@
     return state.domains["configuration"].document
 
 
+def copy_current(state) -> Document:
+    """Returns a copy of the document in force, free to be changed."""
+    return copy.deepcopy(current(state))
+
+
 def version(state) -> int:
     """Returns the configuration version in force, 0 before there is one."""
     return state.domains["configuration"].version
@@ -164,15 +170,20 @@
     done: Callable,
     *,
     action: str = "set",
+    key: str = "",
 ):
     """Puts an edited document in force by compare-and-set.
 
+    A repeat with the same `key` and `action` changes nothing and reports the
+    version of the first one; another action under the key is a conflict.
+
     `edit` returns the new document and may change its argument, a copy; it
     raises `exceptions.BadInput` when it can't. `done(state, effects, status,
     body)` gets the statuses of `AnswerCommand`. A conflict shows the winner's
     version, actor and document. "unavailable" carries `unknown`: false when
     nothing was changed, true when the answer to the write was lost.
     """
+    audit = _audit_key(state, actor, key)
 
     def on_read(state, effects, result):
         if result.status != "read":
@@ -182,14 +193,46 @@
         rows = {row.key: row for row in result.rows}
         row = rows.get(CURRENT, events.Row(CURRENT, 0, None))
         _apply_row(state, effects, row)
-        _edit(state, effects, actor, edit, if_version, action, row, done)
+        earlier = rows.get(audit)
+        if earlier is not None and earlier.value is not None:
+            _repeat(state, effects, earlier.value, action, done)
+            return
+        change = _Change(actor, action, audit)
+        _edit(state, effects, change, edit, if_version, row, done)
 
+    keys = (CURRENT, audit)
     table.read(
-        state, effects, (CURRENT,), (), on_read, deadline_ms=CHANGE_DEADLINE_MS
+        state, effects, keys, (), on_read, deadline_ms=CHANGE_DEADLINE_MS
     )
 
 
-def _edit(state, effects, actor, edit, if_version, action, row, done):
+class _Change(NamedTuple):
+    """Who changes what, and the key of the audit row."""
+
+    actor: str
+    action: str
+    audit: str
+
+
+def _audit_key(state, actor, key):
+    if key:
+        return f"audit/{actor}/{key}"
+    return f"audit/{state.new_id('config')}"
+
+
+def _repeat(state, effects, entry, action, done):
+    if entry["action"] == action:
+        body = {"version": entry["version"], "repeated": True}
+        done(state, effects, "done", body)
+        return
+    body = {
+        "message": f"the key was used for another command: {entry['action']}",
+        "winner": entry,
+    }
+    done(state, effects, "conflict", body)
+
+
+def _edit(state, effects, change, edit, if_version, row, done):
     held = 0 if row.value is None else row.value["version"]
     if if_version and if_version != held:
         done(state, effects, "conflict", _winner(row))
@@ -204,17 +247,17 @@
     if errors:
         done(state, effects, "bad-input", {"errors": errors})
         return
-    _write(state, effects, actor, document, action, row, done)
+    _write(state, effects, change, document, row, done)
 
 
-def _write(state, effects, actor, document, action, row, done):
+def _write(state, effects, change, document, row, done):
     held = 0 if row.value is None else row.value["version"]
-    value = {"version": held + 1, "document": document, "actor": actor}
+    value = {"version": held + 1, "document": document, "actor": change.actor}
     history = f"config/history/{held + 1}"
-    audit = f"audit/{state.new_id('config')}"
+    audit = change.audit
     entry = {
-        "actor": actor,
-        "action": action,
+        "actor": change.actor,
+        "action": change.action,
         "from": held,
         "version": held + 1,
         "node": state.node,
@@ -228,6 +271,10 @@
             done(state, effects, "done", {"version": held + 1})
         elif result.status == "conflict":
             rows = {row.key: row for row in result.rows}
+            earlier = rows.get(audit)
+            if earlier is not None and earlier.value is not None:
+                _repeat(state, effects, earlier.value, change.action, done)
+                return
             winner = rows.get(CURRENT, row)
             _apply_row(state, effects, winner)
             done(state, effects, "conflict", _winner(winner))
@@ -261,6 +308,8 @@
     to_version: int,
     if_version: int,
     done: Callable,
+    *,
+    key: str = "",
 ):
     """Puts the document of an old version in force under a new version."""
     history = f"config/history/{to_version}"
@@ -280,7 +329,16 @@
             return found[0]["document"]
 
         action = f"rollback to {to_version}"
-        change(state, effects, actor, edit, if_version, done, action=action)
+        change(
+            state,
+            effects,
+            actor,
+            edit,
+            if_version,
+            done,
+            action=action,
+            key=key,
+        )
 
     table.read(
         state, effects, (history,), (), on_read, deadline_ms=CHANGE_DEADLINE_MS
@@ -290,7 +348,11 @@
 def _winner(row):
     if row.value is None:
         return {"version": 0, "actor": "", "document": {}}
-    return {key: row.value[key] for key in ("version", "actor", "document")}
+    return {
+        "version": row.value["version"],
+        "actor": row.value.get("actor", ""),
+        "document": row.value["document"],
+    }
 
 
 def _wall_clock_ms(state):
@@ -402,7 +464,8 @@
         domain.create_at = 0
 
     row = events.Row(CURRENT, 0, None)
-    _write(state, effects, state.node, document, "create", row, done)
+    change = _Change(state.node, "create", _audit_key(state, state.node, ""))
+    _write(state, effects, change, document, row, done)
 
 
 # ----------------------------------------------------------------- handlers
