Match the driver with the node's operator endpoint

Change: the driver sends `submit KEY`, polls the operator port first and waits only for the outcomes of accepted jobs. A seed below 0 is refused, as the node refuses it.

--- a/packages/standins/src/skylarklug_standins/driver.py
+++ b/packages/standins/src/skylarklug_standins/driver.py
@@ -20,6 +20,7 @@
 COMMAND_TIMEOUT_S = 10.0
 CALLER_TIMEOUT_S = 15.0
 PROGRESS_INTERVAL_S = 2.0
+SETTLE_POLL_S = 0.5
 MAX_CALLERS = 512
 CONNECT_ATTEMPTS = 3
 
@@ -31,8 +32,8 @@
 class Balancer:
     """Stand-in of the platform's load balancer.
 
-    It polls `/ready` on each node's caller address, or on its operator
-    address when the caller address does not know the path, and hands out
+    It polls `/ready` on each node's operator address, or on its caller
+    address when the operator address does not know the path, and hands out
     ready nodes in turn.
     """
 
@@ -65,7 +66,7 @@
 
     async def _is_ready(self, node):
         ports = self._deployment.ports[node]
-        for port in (ports.caller, ports.operator):
+        for port in (ports.operator, ports.caller):
             status = await self._status(f"http://{port.address}/ready")
             if status != 404:
                 return status == 200
@@ -201,7 +202,7 @@
 
     async def _submit(self, index, line):
         answer = await self.command(
-            "submit", key=line["key"], body=line["spec"]
+            f"submit {line['key']}", key=line["key"], body=line["spec"]
         )
         self.seen.submits[index] = answer["status"]
         detail = answer.get("message", "")
@@ -301,13 +302,18 @@
         return None
 
     async def _settle(self):
-        """Returns when every stated outcome holds, or time is up."""
+        """Returns when the jobs' stated outcomes hold, or time is up.
+
+        Everything else that a trace states is settled when its last line is.
+        """
         deadline = time.monotonic() + self.deployment.cfg["settle_ms"] / 1000
         while time.monotonic() < deadline:
-            if all(outcome.holds for outcome in self.judge()):
+            if outcomes.jobs_hold(
+                self.lines, self.seen, self.deployment.ledger
+            ):
                 return
-            await asyncio.sleep(0.5)
-        self._tell("stated outcomes did not all hold in settle_ms")
+            await asyncio.sleep(SETTLE_POLL_S)
+        self._tell("the jobs' stated outcomes did not hold in settle_ms")
 
     async def _report_progress(self):
         while True:
--- a/packages/standins/src/skylarklug_standins/outcomes.py
+++ b/packages/standins/src/skylarklug_standins/outcomes.py
@@ -135,6 +135,20 @@
     yield _equal(subject, "duplicated", 0, counts.duplicated)
 
 
+def jobs_hold(
+    lines: list[trace.Line],
+    seen: Observations,
+    ledger: ledger_lib.Ledger,
+) -> bool:
+    """True when the stated outcomes of all accepted jobs hold."""
+    for index, line in enumerate(lines):
+        if line["kind"] != "submit" or seen.submits.get(index) != "done":
+            continue
+        if not all(o.holds for o in _judge_job(line, "done", ledger)):
+            return False
+    return True
+
+
 def _judge_command(line, status):
     subject = f"command {line['text']}"
     return _equal(subject, "status", line["expect"]["status"], status)
--- a/packages/standins/src/skylarklug_standins/settings.py
+++ b/packages/standins/src/skylarklug_standins/settings.py
@@ -95,7 +95,7 @@
 
     __pydantic_config__ = _STRICT
     region: _Name
-    seed: int
+    seed: _NotNegative
     nodes_per_data_centre: _Positive
     partitions: _Positive
     vm_list_lag_ms: _NotNegative
--- a/tests/standins/test_run.py
+++ b/tests/standins/test_run.py
@@ -194,6 +194,7 @@
         judged = outcomes.judge([line], seen, ledger, [])
         failed = {o.measure: o.observed for o in judged if not o.holds}
         assert failed == {"finished once": 1, "lost": 1}
+        assert not outcomes.jobs_hold([line], seen, ledger)
 
 
 class TestClassify:
