Add fault schedules for requests and a state machine for slot lending

Cause: at-most-once, truthful outcomes and slot limits hold only if they hold under any mix of faults.

Change: tests/core/fakes.py runs several nodes and workers in virtual time. 200 seeded schedules mix kills, pauses, network partitions, lost, late and cut answers, leaving workers and node stops; 40 more check that slots are never exceeded while nodes reach each other; a Hypothesis state machine lends slots over slow and cut links and changes the owner. A node without demand is now lent nothing while others have demand: a constant of 0.5 in its share cost a busy node one slot of 18.

--- a/packages/core/src/skylarklug/lending.py
+++ b/packages/core/src/skylarklug/lending.py
@@ -146,13 +146,14 @@
 
 def _bounds(book, nodes, slots, services):
     """Returns cumulative shares of the slots, one bound more than nodes."""
-    # The half keeps shares equal while nobody has demand.
     demands = [
-        0.5 + sum(book.wants[name][1].get(s, 0) for s in services)
-        for name in nodes
+        sum(book.wants[name][1].get(s, 0) for s in services) for name in nodes
     ]
     total = sum(demands)
-    sums = itertools.accumulate(demands, initial=0.0)
+    if not total:
+        demands = [1] * len(nodes)
+        total = len(nodes)
+    sums = itertools.accumulate(demands, initial=0)
     limits = [slots * value / total for value in sums]
     limits[-1] = float(slots)
     return limits
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -39,12 +39,15 @@
         self.down = set()
         self.paused = {}
         self.cut = set()
+        self.delay = 1
+        self.last = {}
         self.workers = {}
         self.owners = {}
         self.views = {}
         self.exited = set()
         self.lose_answers = 0.0
         self.late_answers = 0.0
+        self.cut_answers = 0.0
         self.runs = collections.Counter()
         self.sent = collections.Counter()
         self.attempts = 0
@@ -120,6 +123,27 @@
         self.list_vms([node])
         self.at(self.now + self.rng.randrange(50), self._tick, node, state)
 
+    def kill_node(self, node):
+        """Kills a node; another one takes over its partitions after 3 s."""
+        self.down.add(node)
+        self.at(self.now + 3000, self.take_over, node)
+
+    def take_over(self, node):
+        for partition, (owner, epoch) in list(self.owners.items()):
+            if owner != node:
+                continue
+            for name in sorted(self.states):
+                if name in self.down or name in self.exited or name == node:
+                    continue
+                if name.split("-")[0] != partition.split("/")[0]:
+                    continue
+                self.owners[partition] = (name, epoch + 1)
+                acquired = events.PartitionAcquired(
+                    0, partition, epoch + 1, True
+                )
+                self.feed(name, acquired)
+                break
+
     def list_vms(self, nodes=None):
         self.list_version += 1
         vms = tuple(w.vm for w in self.workers.values())
@@ -187,7 +211,10 @@
         elif kind is fx.SendPeer:
             if not self.is_cut(node, effect.peer):
                 message = events.PeerMessage(0, node, effect.body)
-                self.at(self.now + 1, self.feed, effect.peer, message)
+                link = (node, effect.peer)
+                when = max(self.now + self.delay, self.last.get(link, 0))
+                self.last[link] = when
+                self.at(when, self.feed, effect.peer, message)
         elif kind is fx.Exit:
             self.exited.add(node)
 
@@ -223,7 +250,7 @@
         )  # fmt: skip
 
     def _forwarded(self, node, req_id, attempt, outcome, status):
-        if outcome == retries_not_run:
+        if outcome == "not run":
             self._fail(node, req_id, attempt, True, True, "peer", False, 0)
         else:
             self._answer(node, req_id, attempt, status)
@@ -292,6 +319,13 @@
         self.feed(
             node, events.AttemptHeaders(0, req_id, attempt, status, False)
         )
+        if self.rng.random() < self.cut_answers:
+            failed = events.AttemptFailed(
+                0, req_id, attempt, True, False, False, "body", "cut"
+            )
+            self.feed(node, failed)
+            self.feed(node, events.RequestClosed(0, req_id, False))
+            return
         self.feed(node, events.AttemptDone(0, req_id, attempt, status, 1))
         self.feed(node, events.RequestClosed(0, req_id, True))
 
@@ -307,6 +341,3 @@
 
     def _end(self, node, req_id, attempt):
         return self.live[node].pop((req_id, attempt), self) is not self
-
-
-retries_not_run = "not run"
--- /dev/null
+++ b/tests/core/test_request_faults.py
@@ -0,0 +1,300 @@
+"""Requests under seeded faults, in virtual time."""
+
+import random
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+from tests.core import fakes
+
+from skylarklug import contracts
+from skylarklug import effects as fx
+from skylarklug import events
+from skylarklug import limits
+
+SCHEDULES = 200
+REQUESTS = 150
+FAULTS_MS = 5_000
+END_MS = 30_000
+
+
+class Schedule:
+    """A simulation with random load and random faults."""
+
+    def __init__(self, seed, monkeypatch, kinds):
+        self.rng = random.Random(seed)
+        dcs = ("yumbo", "palmira")[: 1 + seed % 2]
+        stop = {"notice_ms": 500, "drain_ms": 15_000}
+        self.sim = fakes.Sim(
+            seed, dcs, nodes=3, count=4, settings={"stop": stop}
+        )
+        self.sim.patch(monkeypatch)
+        self.stopped = set()
+        self.killed = {}
+        for _ in range(2 + seed % 5):
+            when = self.rng.randrange(FAULTS_MS)
+            self.sim.at(when, getattr(self, self.rng.choice(kinds)))
+        for number in range(REQUESTS):
+            when = self.rng.randrange(FAULTS_MS)
+            self.sim.at(when, self._ask, f"r{number}")
+        self.sim.run(END_MS)
+
+    def _ask(self, req_id):
+        serving = set(self.sim.states) - self.sim.down - self.stopped
+        if not serving:
+            return
+        node = self.rng.choice(sorted(serving))
+        work = min(1500.0, self.rng.lognormvariate(4.5, 1.0))
+        idempotent = self.rng.random() < 0.5
+        deadline = self.rng.choice((300, 2000, 5000))
+        self.sim.request(
+            node, req_id, work, idempotent, deadline, f"c{len(req_id) % 3}"
+        )
+
+    def _node(self):
+        return self.rng.choice(sorted(self.sim.states))
+
+    def _worker(self):
+        return self.rng.choice(sorted(self.sim.workers))
+
+    def kill_worker(self):
+        self.sim.kill(self._worker(), self.rng.random() < 0.5)
+
+    def pause_worker(self):
+        worker = self.sim.workers[self._worker()]
+        worker.paused_until = self.sim.now + self.rng.choice((500, 3000))
+
+    def slow_worker(self):
+        self.sim.workers[self._worker()].slow = 5.0
+
+    def leave_worker(self):
+        self.sim.workers[self._worker()].leaving = True
+
+    def kill_node(self):
+        node = self._node()
+        if node not in self.sim.down and node not in self.sim.exited:
+            self.killed[node] = self.sim.now
+            self.sim.kill_node(node)
+
+    def pause_node(self):
+        until = self.sim.now + self.rng.choice((300, 2500, 6000))
+        self.sim.paused[self._node()] = until
+
+    def stop_node(self):
+        node = self._node()
+        if len(self.stopped) < 2:
+            self.stopped.add(node)
+            self.sim.feed(node, events.StopRequested(0))
+
+    def cut_nodes(self):
+        self._cut((self._node(), self._node()))
+
+    def cut_worker(self):
+        self._cut((self._node(), self._worker()))
+
+    def _cut(self, link):
+        self.sim.cut.add(link)
+        heal = self.sim.now + self.rng.choice((500, 3000))
+        self.sim.at(heal, self.sim.cut.discard, link)
+
+    def lose_answers(self):
+        self.sim.lose_answers = 0.2
+        self.sim.at(self.sim.now + 1000, setattr, self.sim, "lose_answers", 0)
+
+    def late_answers(self):
+        self.sim.late_answers = 0.3
+        self.sim.at(self.sim.now + 1000, setattr, self.sim, "late_answers", 0)
+
+    def cut_answers(self):
+        self.sim.cut_answers = 0.2
+        self.sim.at(self.sim.now + 1000, setattr, self.sim, "cut_answers", 0)
+
+    def check(self):
+        sim = self.sim
+        for req_id, (node, _) in sim.home.items():
+            found = sim.outcomes[req_id]
+            if node not in self.killed:
+                assert len(found) == 1, (req_id, node, found)
+            assert len(found) <= 1, (req_id, node, found)
+            if not sim.idempotent[req_id]:
+                assert sim.runs[req_id] <= 1, (req_id, "ran twice")
+            if found == ["not run"]:
+                assert sim.runs[req_id] == 0, (req_id, "false not run")
+        for node in self.stopped - set(self.killed):
+            assert node in sim.exited, (node, "did not exit")
+        for name, state in sim.states.items():
+            if name in sim.down or name in sim.exited:
+                continue
+            slots = state.domains["limits"].slots
+            busy = {w: s.in_use for w, s in slots.items() if s.in_use}
+            assert not busy, (name, "slots leaked", busy)
+
+
+QUIET = ("slow_worker", "leave_worker", "pause_worker", "stop_node")
+WORKER = (*QUIET, "kill_worker", "cut_worker", "lose_answers", "late_answers")
+ALL = (*WORKER, "cut_answers", "kill_node", "pause_node", "cut_nodes")
+
+
+class TestFaultSchedules:
+    @pytest.mark.parametrize("seed", range(SCHEDULES))
+    def test_outcomes_hold_under_all_faults(self, seed, monkeypatch):
+        """Guards I4, I5, I6 and I8 against any mix of faults."""
+        schedule = Schedule(seed, monkeypatch, ALL)
+        schedule.check()
+
+    @pytest.mark.parametrize("seed", range(1000, 1040))
+    def test_slots_hold_while_nodes_reach_each_other(self, seed, monkeypatch):
+        """Guards against lending a slot twice, at any load and on a stop."""
+        schedule = Schedule(seed, monkeypatch, WORKER)
+        schedule.check()
+        assert max(schedule.sim.peak.values()) <= 8
+
+    def test_replay_gives_identical_effects(self, monkeypatch):
+        """Guards against hidden inputs in the request domains."""
+        runs = []
+        for _ in range(2):
+            found = []
+            init = fakes.Sim._perform
+
+            def perform(sim, node, effect, found=found, init=init):
+                found.append((sim.now, node, repr(effect)))
+                init(sim, node, effect)
+
+            with monkeypatch.context() as patch:
+                patch.setattr(fakes.Sim, "_perform", perform)
+                Schedule(3, patch, ALL)
+            runs.append(found)
+        assert runs[0] == runs[1]
+        assert any("SendAttempt" in line for *_, line in runs[0])
+
+
+class Lending(stateful.RuleBasedStateMachine):
+    """Three nodes share workers while links fail and messages are lost."""
+
+    LAST_MS = 300
+    nodes = st.sampled_from(("yumbo-0", "yumbo-1", "yumbo-2"))
+
+    def __init__(self):
+        super().__init__()
+        self.before = contracts.owner_of, contracts.epoch_of
+        self.sim = fakes.Sim(5, nodes=3, count=3)
+        contracts.owner_of = self.sim.owner_of
+        contracts.epoch_of = self.sim.epoch_of
+        self.sim.run(3000)
+
+    def teardown(self):
+        contracts.owner_of, contracts.epoch_of = self.before
+
+    @stateful.rule(node=nodes, amount=st.integers(1, 20))
+    def use(self, node, amount):
+        state = self.sim.states[node]
+        limits.add_demand(state, fakes.SERVICE, amount)
+        end = self.sim.now + self.LAST_MS
+        self.sim.at(end, limits.add_demand, state, fakes.SERVICE, -amount)
+        effects = []
+        state.now = self.sim.now
+        limits.want_more(state, effects)
+        for effect in effects:
+            self.sim._perform(node, effect)
+        for worker in self.sim.workers:
+            slots = limits.get(state, worker)
+            while slots.free(self.sim.now) > 0 and amount:
+                amount -= 1
+                limits.acquire(state, worker)
+                self.sim.at(end, limits.release, state, worker)
+
+    @stateful.rule(ms=st.sampled_from((1, 2, 10, 60, 300, 700, 2500)))
+    def pass_time(self, ms):
+        self.sim.run(self.sim.now + ms)
+
+    @stateful.rule(a=nodes, b=nodes)
+    def cut(self, a, b):
+        self.sim.cut.add((a, b))
+
+    @stateful.rule(ms=st.sampled_from((1, 50, 900, 1700)))
+    def delay(self, ms):
+        self.sim.delay = ms
+
+    @stateful.rule()
+    def heal(self):
+        self.sim.cut.clear()
+
+    @stateful.rule(node=nodes)
+    def change_owner(self, node):
+        owner, epoch = self.sim.owners["yumbo/0"]
+        if owner == node:
+            return
+        lost = events.PartitionLost(0, "yumbo/0", "test")
+        self.sim.feed(owner, lost)
+        self.sim.owners["yumbo/0"] = (node, epoch + 1)
+        acquired = events.PartitionAcquired(0, "yumbo/0", epoch + 1, True)
+        self.sim.feed(node, acquired)
+
+    @stateful.invariant()
+    def slots_are_never_exceeded(self):
+        for worker in self.sim.workers:
+            used = sum(
+                limits.get(state, worker).in_use
+                for state in self.sim.states.values()
+            )
+            assert used <= 8, (worker, used)
+
+
+Lending.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
+
+
+class TestLending(Lending.TestCase):
+    """Guards against lending one slot to two nodes."""
+
+
+class TestDemand:
+    def test_busy_node_gets_idle_slots(self, monkeypatch):
+        """Guards against idle slots that a busy node cannot use."""
+        sim = fakes.Sim(1, nodes=3, count=3)
+        sim.patch(monkeypatch)
+        sim.run(4000)
+        for number in range(30):
+            sim.request("yumbo-1", f"r{number}", 3000.0)
+        sim.run(5500)
+        state = sim.states["yumbo-1"]
+        used = sum(limits.get(state, w).in_use for w in sim.workers)
+        # 24 slots less the base share of the other two nodes.
+        assert used == 18
+
+    def test_delayed_grant_ends_with_the_request_for_it(self, monkeypatch):
+        """Guards against a late grant that outlives the lender's record."""
+        sim = fakes.Sim(1, nodes=3, count=3)
+        sim.patch(monkeypatch)
+        state = sim.states["yumbo-1"]
+        sim.run(4000)
+        sim.cut.add(("yumbo-0", "yumbo-1"))
+        sim.run(8000)
+        slots = limits.get(state, "y-0000")
+        assert slots.usable(sim.now) == 1
+        body = {
+            "kind": "slots-grant",
+            "partition": "yumbo/0",
+            "epoch": 1,
+            "seq": 10**6,
+            "sent": 8000 - 1700,
+            "slots": {"y-0000": 5},
+            "others": {},
+        }
+        sim.feed("yumbo-1", events.PeerMessage(0, "yumbo-0", body))
+        assert slots.usable(8000 - 1700 + 1799) == 6
+        assert slots.usable(8000 - 1700 + 1800) == 1
+
+    def test_without_lender_base_shares_apply(self):
+        """Guards against a node that stops when its lender is unknown."""
+        sim = fakes.Sim(1, nodes=3, count=3)
+        sent = []
+        sim.on_effect = lambda node, effect: (
+            sent.append(effect) if type(effect) is fx.SendAttempt else None
+        )
+        for number in range(30):
+            sim.request("yumbo-1", f"r{number}", 3000.0)
+        sim.run(1000)
+        assert len(sent) == 3
