Let the request simulation hold its own leases

Cause: with the real ownership module merged, the simulation without a table reported its nodes as suspended, so the lender granted nothing.

Change: the simulation answers the ownership mode as it answers owner and epoch.

--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -88,6 +88,7 @@
         """Answers ownership questions from `owners`."""
         monkeypatch.setattr(contracts, "owner_of", self.owner_of)
         monkeypatch.setattr(contracts, "epoch_of", self.epoch_of)
+        monkeypatch.setattr(contracts, "mode", lambda state: "held")
 
     def owner_of(self, state, partition):
         return self.owners.get(partition, ("", 0))[0]
