Wait for acknowledged finishes and show whole explanations in the run

Cause: the run asked the nodes what ran where before the owners had learned of the last finishes, and cut each explanation at 100 characters, before its reason.

Change: after the jobs' outcomes hold, the driver waits up to 10 s for the acknowledgements of all finishes; explanations are wrapped.

--- a/packages/standins/src/skylarklug_standins/driver.py
+++ b/packages/standins/src/skylarklug_standins/driver.py
@@ -21,6 +21,7 @@
 CALLER_TIMEOUT_S = 15.0
 PROGRESS_INTERVAL_S = 2.0
 SETTLE_POLL_S = 0.5
+ACKNOWLEDGE_S = 10.0
 MAX_CALLERS = 512
 CONNECT_ATTEMPTS = 3
 
@@ -306,14 +307,20 @@
 
         Everything else that a trace states is settled when its last line is.
         """
-        deadline = time.monotonic() + self.deployment.cfg["settle_ms"] / 1000
-        while time.monotonic() < deadline:
-            if outcomes.jobs_hold(
-                self.lines, self.seen, self.deployment.ledger
-            ):
-                return
-            await asyncio.sleep(SETTLE_POLL_S)
-        self._tell("the jobs' stated outcomes did not hold in settle_ms")
+        ledger = self.deployment.ledger
+        settle_s = self.deployment.cfg["settle_ms"] / 1000
+        if not await _until(
+            lambda: outcomes.jobs_hold(self.lines, self.seen, ledger), settle_s
+        ):
+            self._tell("the jobs' stated outcomes did not hold in settle_ms")
+            return
+        # Owners learn of the last finishes with the next renewals; until then
+        # they would list these tasks as running.
+        tasks = outcomes.all_tasks(self.lines)
+        await _until(
+            lambda: all(ledger.record(t).acknowledged() for t in tasks),
+            ACKNOWLEDGE_S,
+        )
 
     async def _report_progress(self):
         while True:
@@ -335,6 +342,16 @@
         self._progress(f"[{self._elapsed_s():6.1f} s] {text}")
 
 
+async def _until(holds, timeout_s: float) -> bool:
+    """Polls `holds` until it is true; returns False when time is up."""
+    deadline = time.monotonic() + timeout_s
+    while not holds():
+        if time.monotonic() >= deadline:
+            return False
+        await asyncio.sleep(SETTLE_POLL_S)
+    return True
+
+
 def classify(response, method: str, token: str, size: int) -> str:
     """Returns the result of a request, one of `outcomes.RESULTS`."""
     if response is None or response.code == 599:
--- a/packages/standins/src/skylarklug_standins/ledger.py
+++ b/packages/standins/src/skylarklug_standins/ledger.py
@@ -62,6 +62,10 @@
         """True when every unit of work has been completed."""
         return self.total > 0 and len(self.units) == self.total
 
+    def acknowledged(self) -> bool:
+        """True when no finish waits for its acknowledgement."""
+        return not self.finishes or bool(self.accepted)
+
     def redone(self) -> int:
         """Number of completions beyond the first of each unit."""
         return sum(len(attempts) - 1 for attempts in self.units.values())
--- a/packages/standins/src/skylarklug_standins/run.py
+++ b/packages/standins/src/skylarklug_standins/run.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import sys
+import textwrap
 
 import tabulate
 
@@ -25,6 +26,7 @@
 WHY_TASKS = 4
 TASK_ROWS = 60
 WHY_WIDTH = 100
+WHY_INDENT = {"initial_indent": "  ", "subsequent_indent": "    "}
 
 
 def load(path):
@@ -89,7 +91,7 @@
         print(f"{task}:")
         for row in rows:
             fields = [f"{key}={value}" for key, value in row.items()]
-            print(f"  {' '.join(fields)}"[:WHY_WIDTH])
+            print(textwrap.fill(" ".join(fields), WHY_WIDTH, **WHY_INDENT))
 
 
 def print_execution(lines, ledger):
--- a/tests/standins/test_agent.py
+++ b/tests/standins/test_agent.py
@@ -191,7 +191,9 @@
             await bench.sync(agent, start("a", attempt=attempt))
             bench.clock.now += 1_000
             await bench.sync(agent)
+        assert not bench.ledger.record("a").acknowledged()
         await bench.sync(agents[0], command("ack", "a", 1))
+        assert bench.ledger.record("a").acknowledged()
         ack = command("ack", "a", 2, accepted=False)
         await bench.sync(agents[1], ack)
         assert bench.ledger.count(["a"]).duplicated == 0
