Number each grant message once, and pack counts in slot messages

Cause: a lender that asked two holders at once to give up slots sent both messages under the last number. The first holder's acknowledgement then removed its own grant from the books, and its slots could be lent twice. Also, a lender of 49 workers with 9 nodes would send and receive about 20 KB/s of worker names by estimate, twice the budget of a node.

Change: lending.grant returns the number of every message. Two nodes with the same worker list exchange one byte per worker; a checksum of the list is in each message, and counts by name are used while the lists differ. Slots in use beyond the base are indexed instead of collected from all workers. The event benchmark times the reducer alone.

Conclusion: the books are correct; sizes of messages are to be measured.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -247,21 +247,19 @@
         contracts.epoch_of = sim.epoch_of
         spent = collections.Counter()
         seen = collections.Counter()
-        worst = collections.Counter()
-        feed = sim.feed
+        reduce = fakes.reducer.reduce
 
-        def timed(node, event, feed=feed, spent=spent, seen=seen, worst=worst):
+        def timed(state, event, reduce=reduce, spent=spent, seen=seen):
             kind = type(event).__name__
             if kind == "PeerMessage":
                 kind = event.body["kind"]
             started = time.perf_counter_ns()
-            feed(node, event)
-            took = time.perf_counter_ns() - started
-            spent[kind] += took
+            effects = reduce(state, event)
+            spent[kind] += time.perf_counter_ns() - started
             seen[kind] += 1
-            worst[kind] = max(worst[kind], took)
+            return effects
 
-        sim.feed = timed
+        sim.on_reduce = timed
         stream = arrivals(7, 1.0, 8_000)
         offer(sim, stream)
         gc.collect()
--- a/packages/core/src/skylarklug/lending.py
+++ b/packages/core/src/skylarklug/lending.py
@@ -53,6 +53,7 @@
         self.capacity = None
         self.wants: dict[str, tuple[int, dict]] = {}
         self.holdings: dict[str, dict[str, Holding]] = {}
+        self.checksums: dict[str, int] = {}
         self.shrunk_at: dict[str, int] = {}
 
 
@@ -94,8 +95,9 @@
         capacity: (worker, lendable slots, services) in a stable order.
 
     Returns:
-        Slots per worker, slots in use by other nodes per worker, and a list
-        of (node, slots per worker) for nodes asked to give up slots.
+        The number of the grant, slots per worker, slots in use by other
+        nodes per worker, and a list of (node, number, slots per worker) for
+        nodes asked to give up slots.
     """
     settle(book, now, node, want)
     book.wants[node] = (now, want["demand"])
@@ -103,6 +105,7 @@
         if now - heard > GRANT_MS + EXPIRY_MARGIN_MS:
             del book.wants[other]
     book.seq += 1
+    seq = book.seq
     nodes = sorted(book.wants)
     place = nodes.index(node)
     bounds = {}
@@ -137,11 +140,11 @@
                 holding = holdings[node] = Holding()
                 holding.heard = now
         if holding is not None:
-            holding.grants.append((book.seq, count, now + GRANT_MS))
+            holding.grants.append((seq, count, now + GRANT_MS))
     shrunk = []
     if sum(counts.values()) < _target_sum(bounds, place, capacity):
         shrunk = _shrink(book, now, nodes, over, bounds, capacity)
-    return counts, others, shrunk
+    return seq, counts, others, shrunk
 
 
 def _bounds(book, nodes, slots, services):
@@ -204,5 +207,5 @@
             expiry = holding.grants[-1][2]
             grant_now = (book.seq, smaller.get(worker, 0), expiry)
             holding.grants.append(grant_now)
-        shrunk.append((node, smaller))
+        shrunk.append((node, book.seq, smaller))
     return shrunk
--- a/packages/core/src/skylarklug/limits.py
+++ b/packages/core/src/skylarklug/limits.py
@@ -8,6 +8,7 @@
 from skylarklug import effects as fx
 from skylarklug import events
 from skylarklug import lending
+from skylarklug import slotlists
 from skylarklug import workers
 
 RENEW_MS = 500
@@ -19,6 +20,7 @@
     """The slots of one worker that this node may use.
 
     Attributes:
+        partition: The worker's partition.
         slots: Slots of the worker.
         base: Slots that are always this node's.
         cap: Most slots that this node may use, from its connections.
@@ -30,6 +32,7 @@
     """
 
     __slots__ = (
+        "partition",
         "slots",
         "base",
         "cap",
@@ -40,7 +43,8 @@
         "others_at",
     )
 
-    def __init__(self, slots, base, cap):
+    def __init__(self, partition, slots, base, cap):
+        self.partition = partition
         self.slots = slots
         self.base = base
         self.cap = cap
@@ -71,6 +75,25 @@
         self.peak_before = 0
 
 
+class Partition:
+    """The workers of one partition of this data centre.
+
+    Attributes:
+        names: Its workers, sorted.
+        checksum: Tells whether a peer has the same list.
+        agreed: Checksum in the newest grant message.
+        busy: Slots in use beyond the base share, by worker.
+    """
+
+    __slots__ = ("names", "checksum", "agreed", "busy")
+
+    def __init__(self, names):
+        self.names = names
+        self.checksum = slotlists.checksum(names)
+        self.agreed = 0
+        self.busy: dict[str, int] = {}
+
+
 class LimitsState:
     """Slots held and lent.
 
@@ -78,6 +101,7 @@
         slots: Slots by worker, for workers of this data centre.
         held: Per partition, the newest (epoch, seq) of a grant message.
         until: Per partition, the time at which its grants end.
+        partitions: Partitions of this data centre.
         demand: Demand by service.
         changed: Workers whose free slots may have grown or shrunk.
         lenders: Books of the partitions that this node lends.
@@ -87,7 +111,7 @@
         self.slots: dict[str, Slots] = {}
         self.held: dict[str, tuple[int, int]] = {}
         self.until: dict[str, int] = {}
-        self.partitions: dict[str, int] = {}
+        self.partitions: dict[str, Partition] = {}
         self.demand: dict[str, Demand] = {}
         self.changed: list[str] = []
         self.lenders: dict[str, lending.Book] = {}
@@ -135,7 +159,9 @@
 
 def acquire(state, worker: str):
     """Counts an attempt sent to the worker."""
-    _domain(state).slots[worker].in_use += 1
+    slots = _domain(state).slots[worker]
+    slots.in_use += 1
+    _note_busy(state, worker, slots)
 
 
 def release(state, worker: str):
@@ -143,6 +169,16 @@
     slots = _domain(state).slots.get(worker)
     if slots is not None and slots.in_use > 0:
         slots.in_use -= 1
+        _note_busy(state, worker, slots)
+
+
+def _note_busy(state, worker, slots):
+    busy = _domain(state).partitions[slots.partition].busy
+    beyond = slots.in_use - slots.base
+    if beyond > 0:
+        busy[worker] = beyond
+    else:
+        busy.pop(worker, None)
 
 
 def add_demand(state, service: str, amount: int):
@@ -212,46 +248,74 @@
             effects.append(fx.SendPeer(owner, body))
 
 
-def _report(state, partition, kind):
+def _report(state, name, kind):
     domain = _domain(state)
-    busy = {}
-    for worker in workers.of_partition(state, partition):
-        slots = domain.slots.get(worker)
-        if slots is not None and slots.in_use > slots.base:
-            busy[worker] = slots.in_use - slots.base
-    epoch, seq = domain.held.get(partition, (0, 0))
+    partition = domain.partitions[name]
+    epoch, seq = domain.held.get(name, (0, 0))
     return {
         "kind": kind,
-        "partition": partition,
+        "partition": name,
         "epoch": epoch,
         "ack": seq,
-        "busy": busy,
+        "list": partition.checksum,
+        "busy": _encode(partition, partition.busy, partition.agreed),
     }
 
 
+def _encode(partition, counts, peer_checksum):
+    if partition.checksum != peer_checksum:
+        return dict(counts)
+    return slotlists.pack(counts, partition.names)
+
+
+def _decode_report(state, body):
+    """Returns the report with named counts, or None if it cannot be read.
+
+    A peer packs counts when the lists agreed at the last grant; they may
+    differ since. Its next report follows a grant with names.
+    """
+    partition = _domain(state).partitions.get(body["partition"])
+    if partition is None:
+        return None
+    busy = body["busy"]
+    if isinstance(busy, bytes) and body["list"] != partition.checksum:
+        return None
+    return {**body, "busy": slotlists.unpack(busy, partition.names)}
+
+
 def _on_want(state, node, body, effects):
     book = _book(state, body["partition"])
     if book is None:
         return
     capacity = _capacity(state, book)
-    counts, others, shrunk = lending.grant(
-        book, state.now, node, body, capacity
+    report = _decode_report(state, body)
+    if report is None:
+        # Tells the node this list's checksum without giving it slots.
+        _send_grant(state, effects, book, node, 0, {}, {}, -1)
+        return
+    seq, counts, others, shrunk = lending.grant(
+        book, state.now, node, report, capacity
     )
-    _send_grant(state, effects, book, node, counts, others, body["sent"])
-    for other, smaller in shrunk:
-        _send_grant(state, effects, book, other, smaller, {}, -1)
+    book.checksums[node] = body["list"]
+    sent = body["sent"]
+    _send_grant(state, effects, book, node, seq, counts, others, sent)
+    for other, seq, smaller in shrunk:
+        _send_grant(state, effects, book, other, seq, smaller, {}, -1)
 
 
 def _on_return(state, node, body):
     book = _book(state, body["partition"])
-    if book is not None:
-        lending.settle(book, state.now, node, body)
+    report = _decode_report(state, body)
+    if book is not None and report is not None:
+        lending.settle(book, state.now, node, report)
 
 
 def _book(state, partition):
     """Returns the book when this node may lend now, else None."""
     epoch = contracts.epoch_of(state, partition)
     book = _domain(state).lenders.get(partition)
+    if partition not in _domain(state).partitions:
+        return None
     if not epoch or book is None or state.now < book.lends_from:
         return None
     if contracts.mode(state) == "suspended":
@@ -264,22 +328,25 @@
     # The list is kept until the VM list changes; a grant reads every entry.
     if book.capacity is None:
         book.capacity = []
-        for worker in workers.of_partition(state, book.partition):
+        for worker in _domain(state).partitions[book.partition].names:
             vm = workers.get(state, worker)
             count = lendable(state, vm.slots)
             book.capacity.append((worker, count, vm.services))
     return book.capacity
 
 
-def _send_grant(state, effects, book, node, counts, others, sent):
+def _send_grant(state, effects, book, node, seq, counts, others, sent):
+    partition = _domain(state).partitions[book.partition]
+    theirs = book.checksums.get(node, 0)
     body = {
         "kind": "slots-grant",
         "partition": book.partition,
         "epoch": book.epoch,
-        "seq": book.seq,
+        "seq": seq,
         "sent": sent,
-        "slots": counts,
-        "others": others,
+        "list": partition.checksum,
+        "slots": _encode(partition, counts, theirs),
+        "others": _encode(partition, others, theirs),
     }
     if node == state.node:
         _on_grant(state, node, body, effects)
@@ -289,32 +356,38 @@
 
 def _on_grant(state, node, body, effects):
     domain = _domain(state)
-    partition = body["partition"]
+    name = body["partition"]
+    partition = domain.partitions.get(name)
+    if partition is None:
+        return
+    partition.agreed = body["list"]
+    if body["list"] != partition.checksum and isinstance(body["slots"], bytes):
+        return
     stamp = (body["epoch"], body["seq"])
-    if stamp <= domain.held.get(partition, (0, 0)):
+    if stamp <= domain.held.get(name, (0, 0)):
         return
-    domain.held[partition] = stamp
+    domain.held[name] = stamp
+    counts = slotlists.unpack(body["slots"], partition.names)
+    others = slotlists.unpack(body["others"], partition.names)
     renews = body["sent"] >= 0
     # The time counts from the request, not from the answer, so that a
     # delayed answer cannot extend the grant beyond the lender's record.
     until = body["sent"] + lending.GRANT_MS - lending.EXPIRY_MARGIN_MS
-    for worker in workers.of_partition(state, partition):
-        slots = domain.slots.get(worker)
-        if slots is None:
-            continue
-        count = body["slots"].get(worker, 0)
+    for worker in partition.names:
+        slots = domain.slots[worker]
+        count = counts.get(worker, 0)
         if renews:
             slots.granted = count
             slots.until = until
-            slots.others = body["others"].get(worker, 0)
+            slots.others = others.get(worker, 0)
             slots.others_at = state.now
         else:
             slots.granted = min(slots.granted, count)
         domain.changed.append(worker)
     if renews:
-        domain.until[partition] = until
+        domain.until[name] = until
         return
-    body = _report(state, partition, "slots-return")
+    body = _report(state, name, "slots-return")
     if node == state.node:
         _on_return(state, node, body)
     else:
@@ -338,23 +411,38 @@
     for vm in (*event.added, *event.changed):
         if vm.data_centre == state.data_centre:
             _set_worker(state, vm)
-    domain.partitions = {}
-    for worker in domain.slots:
-        partition = workers.partition_of(state, worker)
-        domain.partitions[partition] = domain.partitions.get(partition, 0) + 1
+    _index(state)
     for book in domain.lenders.values():
         book.capacity = None
         for worker in event.removed:
             book.holdings.pop(worker, None)
 
 
+def _index(state):
+    domain = _domain(state)
+    names = {}
+    for worker in sorted(domain.slots):
+        names.setdefault(domain.slots[worker].partition, []).append(worker)
+    before = domain.partitions
+    domain.partitions = {
+        name: Partition(found) for name, found in names.items()
+    }
+    for name, partition in domain.partitions.items():
+        if name in before:
+            partition.agreed = before[name].agreed
+    for worker, slots in domain.slots.items():
+        _note_busy(state, worker, slots)
+
+
 def _set_worker(state, vm):
     nodes = nodes_per_data_centre(state)
     cap = min(vm.slots, vm.connections // nodes)
     base = base_share(state, vm.slots)
     slots = _domain(state).slots.get(vm.vm)
     if slots is None:
-        _domain(state).slots[vm.vm] = Slots(vm.slots, base, cap)
+        partition = workers.partition_of(state, vm.vm)
+        slots = Slots(partition, vm.slots, base, cap)
+        _domain(state).slots[vm.vm] = slots
         return
     slots.slots, slots.base, slots.cap = vm.slots, base, cap
 
@@ -375,7 +463,8 @@
         if state.now < until:
             continue
         del domain.until[partition]
-        domain.changed.extend(workers.of_partition(state, partition))
+        if partition in domain.partitions:
+            domain.changed.extend(domain.partitions[partition].names)
     if state.now < domain.next_renewal:
         return
     domain.next_renewal = state.now + RENEW_MS
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -59,6 +59,7 @@
         self.live = {}
         self.peak = collections.Counter()
         self.on_effect = None
+        self.on_reduce = reducer.reduce
         self.list_version = 0
         names = [(dc, f"{dc}-{i}") for dc in dcs for i in range(nodes)]
         listed = [
@@ -167,7 +168,7 @@
             self.at(resumed, self.feed, node, event)
             return
         state = self.states[node]
-        for effect in reducer.reduce(state, event._replace(at=self.now)):
+        for effect in self.on_reduce(state, event._replace(at=self.now)):
             self._perform(node, effect)
 
     def _tick(self, node, state):
--- a/tests/core/test_request_faults.py
+++ b/tests/core/test_request_faults.py
@@ -11,6 +11,7 @@
 from skylarklug import contracts
 from skylarklug import effects as fx
 from skylarklug import events
+from skylarklug import lending
 from skylarklug import limits
 
 SCHEDULES = 200
@@ -250,6 +251,35 @@
     """Guards against lending one slot to two nodes."""
 
 
+class TestBook:
+    def test_holders_asked_to_shrink_stay_on_the_books(self):
+        """Guards against numbers that acknowledge a grant too early."""
+        book = lending.Book("yumbo/0", 1)
+        capacity = [(f"w-{i}", 6, ("s",)) for i in range(4)]
+
+        def want(node, now, demand, ack=0):
+            report = {"epoch": 1, "ack": ack, "busy": {}}
+            report["demand"] = {"s": demand}
+            return lending.grant(book, now, node, report, capacity)
+
+        def settle(node, now, ack):
+            report = {"epoch": 1, "ack": ack, "busy": {}}
+            lending.settle(book, now, node, report)
+
+        want("b", 1000, 10)
+        *_, shrunk = want("c", 1001, 10)
+        settle("b", 1002, shrunk[0][1])
+        held = {"b": shrunk[0][1], "c": want("c", 1003, 10)[0]}
+        *_, shrunk = want("a", 1300, 100)
+        assert [entry[0] for entry in shrunk] == ["b", "c"]
+        for node, seq, smaller in shrunk:
+            assert seq > held[node]
+            settle(node, 1301, seq)
+            for worker, count in smaller.items():
+                holding = book.holdings[worker][node]
+                assert holding.committed(1301) == count
+
+
 class TestDemand:
     def test_busy_node_gets_idle_slots(self, monkeypatch):
         """Guards against idle slots that a busy node cannot use."""
@@ -280,6 +310,7 @@
             "epoch": 1,
             "seq": 10**6,
             "sent": 8000 - 1700,
+            "list": 0,
             "slots": {"y-0000": 5},
             "others": {},
         }
@@ -287,6 +318,27 @@
         assert slots.usable(8000 - 1700 + 1799) == 6
         assert slots.usable(8000 - 1700 + 1800) == 1
 
+    def test_grants_go_on_while_vm_lists_differ(self, monkeypatch):
+        """Guards against counts read against another list of workers."""
+        sim = fakes.Sim(1, nodes=3, count=3)
+        sim.patch(monkeypatch)
+        sim.run(4000)
+        for node, gone in (("yumbo-0", "y-0000"), ("yumbo-1", "y-0001")):
+            kept = [w.vm for w in sim.workers.values() if w.vm.vm != gone]
+            sim.feed(node, events.VmListRead(0, 9, tuple(kept)))
+        sim.run(8000)
+        grants = []
+        sim.on_effect = lambda node, effect: (
+            grants.append(effect.body)
+            if type(effect) is fx.SendPeer and effect.peer == "yumbo-1"
+            else None
+        )
+        sim.run(10000)
+        assert grants and all(type(g["slots"]) is dict for g in grants)
+        state = sim.states["yumbo-1"]
+        assert limits.get(state, "y-0000").usable(sim.now) == 1
+        assert limits.get(state, "y-0002").usable(sim.now) > 1
+
     def test_without_lender_base_shares_apply(self):
         """Guards against a node that stops when its lender is unknown."""
         sim = fakes.Sim(1, nodes=3, count=3)
