--- a/packages/core/src/skylarklug/members.py
+++ b/packages/core/src/skylarklug/members.py
@@ -344,10 +344,11 @@
     domain = state.domains["membership"]
     node, incarnation, counter, reported, version = update
     if node == state.node:
-        mine = (state.incarnation, domain.counter)
-        refute = reported != "alive" and (incarnation, counter) >= mine
-        if refute and incarnation == state.incarnation and not domain.leaving:
-            domain.counter = counter + 1
+        is_about_me = incarnation == state.incarnation and not domain.leaving
+        if is_about_me and reported != "alive":
+            # The refutation is passed on again even when the counter is
+            # already higher: the first copies may all have been lost.
+            domain.counter = max(domain.counter, counter + 1)
             domain.updates[node] = 0
         return
     member = domain.members.get(node)
--- a/packages/core/src/skylarklug/membership.py
+++ b/packages/core/src/skylarklug/membership.py
@@ -271,6 +271,8 @@
     body = event.body
     kind = body.get("kind")
     if kind == "leave":
+        if body.get("incarnation", 0) < member.incarnation:
+            return
         member.heard_at = -members_lib.SUSPICION_MS
         members_lib.change(state, member, "down")
         return
--- a/tests/core/shared_fakes.py
+++ b/tests/core/shared_fakes.py
@@ -9,8 +9,6 @@
 from skylarklug import events
 from skylarklug import reducer
 
-TICK_MS = 50
-
 
 class FakeTable:
     def __init__(self, rng):
@@ -71,6 +69,7 @@
         self.rng = random.Random(seed)
         self.now = 0
         self.queue = []
+        self.tick_ms = 50
         self.sequence = 0
         self.table = FakeTable(self.rng)
         self.objects = {}
@@ -159,7 +158,10 @@
             return
         self.feed(node, start, events.Tick(self.now))
         self.at(
-            max(self.now + TICK_MS, node.paused_until), self._tick, node, start
+            max(self.now + self.tick_ms, node.paused_until),
+            self._tick,
+            node,
+            start,
         )
 
     def feed(self, node, start, event):
