Add the links between nodes

Nodes exchange CBOR maps over websockets and must not accept strangers, oversized or malformed frames, or two links between the same pair.

Of two links opened at the same time both nodes keep the one that the smaller name opened. Send queues are bounded by frames and bytes and drop the oldest message.

Unknown kinds and wrong senders are dropped and logged; malformed and oversized frames end the link.

--- /dev/null
+++ b/packages/node/src/skylarklugd/peers.py
@@ -0,0 +1,407 @@
+"""Links to other nodes: CBOR maps over websockets.
+
+Links carry whole messages in order or not at all. When and whether to
+connect is decided by the reducer.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+
+import cbor2
+from websockets import exceptions as ws_exceptions
+from websockets.asyncio import client
+from websockets.asyncio import server
+
+from skylarklug import effects
+from skylarklug import events
+from skylarklug import exceptions
+from skylarklugd import handshake
+from skylarklugd import tls
+
+KINDS = frozenset(
+    {
+        "ping",
+        "ack",
+        "ping-req",
+        "ping-ack",
+        "config",
+        "slots-want",
+        "slots-grant",
+        "slots-return",
+        "load",
+        "job-hint",
+        "command",
+        "command-answer",
+        "leave",
+    }
+)
+DUPLICATE = "duplicate link"
+DEFAULTS = {
+    "host": "127.0.0.1",
+    "port": 0,
+    "node": "node",
+    "data_centre": "",
+    "incarnation": 0,
+    "secret": "",
+    "tls": None,
+    "open_timeout_ms": 3_000,
+    "close_timeout_ms": 1_000,
+    "keepalive_ms": 10_000,
+    "queue_frames": 256,
+    "queue_bytes": 1_048_576,
+}
+
+
+class _Link:
+    """One authenticated connection and what waits to be sent on it."""
+
+    def __init__(self, ws, other, initiator):
+        self.ws = ws
+        self.other = other
+        self.initiator = initiator
+        self.queue = collections.deque()
+        self.queued_bytes = 0
+        self.wake = asyncio.Event()
+        self.reason = ""
+
+
+class PeerLinks:
+    """Listens for nodes, connects to nodes, and carries messages.
+
+    Args:
+        cfg: Settings; `DEFAULTS` holds the rest. `secret` is text or bytes,
+            `tls` names `certificate`, `key` and `ca` files or is None.
+        dispatch: Receives PeerConnected, PeerLost and PeerMessage.
+        clock: Monotonic milliseconds.
+        log: Receives level, event name and fields.
+
+    Attributes:
+        bytes_sent, bytes_received: Frames with their headers, in bytes.
+        dropped: Messages dropped because a peer's queue was full.
+    """
+
+    def __init__(
+        self,
+        cfg: Mapping[str, Any],
+        dispatch: Callable[[Any], None],
+        clock: Callable[[], int],
+        log: Callable[[str, str, Mapping[str, Any]], None],
+    ):
+        self.cfg = {**DEFAULTS, **cfg}
+        secret = self.cfg["secret"]
+        self._secret = secret.encode() if isinstance(secret, str) else secret
+        if not self._secret:
+            raise exceptions.SettingsError("the peer secret is empty")
+        self.port = self.cfg["port"]
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.dropped = 0
+        self._own = handshake.Identity(
+            self.cfg["node"], self.cfg["incarnation"], self.cfg["data_centre"]
+        )
+        self._dispatch = dispatch
+        self._clock = clock
+        self._log = log
+        self._tls = None
+        self._server = None
+        self._links: dict[str, _Link] = {}
+        self._connecting: dict[str, asyncio.Task] = {}
+        self._tasks = set()
+        self._closing = False
+        self._performers = {
+            effects.ConnectPeer: self._connect_peer,
+            effects.ClosePeer: self._close_peer,
+            effects.SendPeer: self._send_peer,
+        }
+
+    @property
+    def performs(self) -> tuple[type, ...]:
+        """The effect types that `perform` accepts."""
+        return tuple(self._performers)
+
+    @property
+    def peers(self) -> list[str]:
+        """Names of the nodes to which a link is open, sorted."""
+        return sorted(self._links)
+
+    async def start(self):
+        """Opens the listener; `port` is then the port in use."""
+        if self.cfg["tls"]:
+            self._tls = tls.Contexts(self.cfg["tls"], self._log)
+        self._server = await server.serve(
+            self._accept,
+            self.cfg["host"],
+            self.cfg["port"],
+            ssl=self._tls.listening() if self._tls else None,
+            server_header=None,
+            **self._options(),
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self):
+        """Closes the listener and every link; no event is reported."""
+        self._closing = True
+        for task in list(self._connecting.values()):
+            task.cancel()
+        links = [link.ws.close(1001) for link in self._links.values()]
+        await asyncio.gather(*links)
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def perform(self, effect):
+        """Performs one effect; its events come later, from the loop."""
+        self._performers[type(effect)](effect)
+
+    def _options(self):
+        return {
+            "compression": None,
+            "max_size": handshake.FRAME_LIMIT,
+            "open_timeout": self.cfg["open_timeout_ms"] / 1000,
+            "close_timeout": self.cfg["close_timeout_ms"] / 1000,
+            "ping_interval": self.cfg["keepalive_ms"] / 1000,
+            "ping_timeout": self.cfg["keepalive_ms"] / 1000,
+        }
+
+    # Effects.
+
+    def _connect_peer(self, effect):
+        if effect.peer in self._connecting or effect.peer in self._links:
+            return
+        task = self._spawn(self._connect(effect.peer, effect.address))
+        self._connecting[effect.peer] = task
+
+    def _close_peer(self, effect):
+        task = self._connecting.get(effect.peer)
+        if task is not None:
+            # Not at once: a task that never started could not report.
+            asyncio.get_running_loop().call_soon(task.cancel, effect.reason)
+        link = self._links.get(effect.peer)
+        if link is not None:
+            self._end(link, effect.reason)
+
+    def _send_peer(self, effect):
+        link = self._links.get(effect.peer)
+        if link is None:
+            return
+        body = {
+            **effect.body,
+            "from": self._own.node,
+            "incarnation": self._own.incarnation,
+        }
+        frame = cbor2.dumps(body)
+        if len(frame) > handshake.FRAME_LIMIT:
+            self._refuse(
+                effect.peer,
+                "send frame",
+                f"{body.get('kind')} of {len(frame)} bytes is too large",
+            )
+            return
+        link.queue.append(frame)
+        link.queued_bytes += len(frame)
+        while (
+            len(link.queue) > self.cfg["queue_frames"]
+            or link.queued_bytes > self.cfg["queue_bytes"]
+        ):
+            link.queued_bytes -= len(link.queue.popleft())
+            self.dropped += 1
+        link.wake.set()
+
+    # Opening.
+
+    async def _connect(self, peer, address):
+        scheme = "wss" if self._tls else "ws"
+        reason = ""
+        ws = None
+        try:
+            async with asyncio.timeout(self.cfg["open_timeout_ms"] / 1000):
+                ws = await client.connect(
+                    f"{scheme}://{address}/",
+                    ssl=self._tls.client() if self._tls else None,
+                    proxy=None,
+                    user_agent_header=None,
+                    **self._options(),
+                )
+                other = await handshake.connect(
+                    ws, self._secret, self._own, peer
+                )
+        except exceptions.SkylarklugError as exc:
+            reason = exc.reason
+            self._refuse(peer, exc.step, reason)
+        except ws_exceptions.ConnectionClosed as exc:
+            reason = _closed_reason(exc)
+        except TimeoutError:
+            reason = "no link within the time limit"
+        except Exception as exc:
+            # Whatever happens, the reducer has to learn that there is no
+            # link, or it would never ask for one again.
+            reason = f"{type(exc).__name__}: {exc}"
+        except asyncio.CancelledError as exc:
+            reason = str(exc) or "closed"
+        finally:
+            del self._connecting[peer]
+        if not reason:
+            await self._serve_link(_Link(ws, other, self._own.node))
+            return
+        if ws is not None:
+            await ws.close(1008, reason[:64])
+        # When the other side says that a link exists, it is usually open
+        # here as well by now.
+        if peer not in self._links:
+            self._emit(events.PeerLost, peer, reason)
+
+    async def _accept(self, ws):
+        remote = ws.remote_address
+        peer = f"{remote[0]}:{remote[1]}" if remote else ""
+        try:
+            async with asyncio.timeout(self.cfg["open_timeout_ms"] / 1000):
+                other = await handshake.accept(ws, self._secret, self._own)
+                link = _Link(ws, other, other.node)
+                if not self._wins(link):
+                    await ws.close(1008, DUPLICATE)
+                    return
+                await handshake.welcome(ws)
+        except exceptions.SkylarklugError as exc:
+            self._refuse(peer, exc.step, exc.reason)
+            await ws.close(1008, exc.reason[:64])
+            return
+        except (TimeoutError, ws_exceptions.ConnectionClosed) as exc:
+            reason = _closed_reason(exc)
+            self._refuse(peer, "authenticate", reason)
+            return
+        await self._serve_link(link)
+
+    def _wins(self, link):
+        """Whether the link takes the place of the present one.
+
+        A newer incarnation wins. Of two links that both nodes opened at the
+        same time, both keep the one that the smaller name opened. A second
+        link from the same node means that it has lost the first.
+        """
+        present = self._links.get(link.other.node)
+        if present is None:
+            return True
+        if link.other.incarnation != present.other.incarnation:
+            return link.other.incarnation > present.other.incarnation
+        if link.initiator == present.initiator:
+            return True
+        return link.initiator < present.initiator
+
+    # An open link.
+
+    async def _serve_link(self, link):
+        peer = link.other.node
+        if self._closing or not self._wins(link):
+            await link.ws.close(1008, DUPLICATE)
+            return
+        present = self._links.get(peer)
+        self._links[peer] = link
+        if present is not None:
+            present.reason = DUPLICATE
+            self._spawn(present.ws.close(1008, DUPLICATE))
+        if present is None or present.other != link.other:
+            if present is not None:
+                self._emit(events.PeerLost, peer, "the node has restarted")
+            self._emit(
+                events.PeerConnected,
+                peer,
+                link.other.data_centre,
+                link.other.incarnation,
+            )
+        sender = self._spawn(self._send(link))
+        try:
+            await self._receive(link)
+        except ws_exceptions.ConnectionClosed as exc:
+            self._note_close(link, exc)
+        finally:
+            sender.cancel()
+            if self._links.get(peer) is link:
+                del self._links[peer]
+                reason = link.reason or "connection closed"
+                self._emit(events.PeerLost, peer, reason)
+        await link.ws.close()
+
+    async def _receive(self, link):
+        peer = link.other.node
+        while True:
+            frame = await link.ws.recv()
+            self.bytes_received += _wire_size(frame, link, self._own, False)
+            current = self._links.get(peer)
+            if current is None or current.other != link.other:
+                return
+            try:
+                body = handshake.decode(frame)
+            except exceptions.ProtocolError as exc:
+                self._refuse(peer, exc.step, exc.reason)
+                self._end(link, exc.reason)
+                return
+            if body["kind"] not in KINDS:
+                kind = body["kind"][:32]
+                self._refuse(peer, "check message", f"unknown kind {kind!r}")
+                continue
+            named = (body.get("from"), body.get("incarnation"))
+            if named != link.other[:2]:
+                self._refuse(peer, "check message", "wrong sender")
+                continue
+            self._emit(events.PeerMessage, peer, body)
+
+    async def _send(self, link):
+        while True:
+            while link.queue:
+                frame = link.queue.popleft()
+                link.queued_bytes -= len(frame)
+                try:
+                    await link.ws.send(frame)
+                except ws_exceptions.ConnectionClosed:
+                    return
+                self.bytes_sent += _wire_size(frame, link, self._own, True)
+            link.wake.clear()
+            await link.wake.wait()
+
+    def _end(self, link, reason):
+        link.reason = link.reason or reason
+        self._spawn(link.ws.close(1008, reason[:64]))
+
+    def _note_close(self, link, exc):
+        reason = _closed_reason(exc)
+        link.reason = link.reason or reason
+        if exc.sent is not None and exc.sent.code == 1009:
+            self._refuse(link.other.node, "read frame", reason)
+
+    def _refuse(self, peer, step, reason):
+        fields = {"peer": peer, "step": step, "reason": reason}
+        self._log("warning", "peer-refused", fields)
+
+    def _emit(self, kind, *fields):
+        if not self._closing:
+            self._dispatch(kind(self._clock(), *fields))
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _closed_reason(exc):
+    if isinstance(exc, TimeoutError):
+        return "no answer within the time limit"
+    if exc.sent is not None and exc.sent.code == 1009:
+        return f"a frame is larger than {handshake.FRAME_LIMIT} bytes"
+    if exc.rcvd is not None and exc.rcvd.reason:
+        return exc.rcvd.reason
+    return "connection closed"
+
+
+def _wire_size(frame, link, own, sending):
+    """Returns the size of a frame with its websocket header (RFC 6455)."""
+    size = len(frame)
+    header = 2 if size < 126 else 4 if size < 65_536 else 10
+    # The connecting side masks its frames with a key of four bytes.
+    masked = (link.initiator == own.node) == sending
+    return size + header + (4 if masked else 0)
