--- a/tests/node/test_platform.py
+++ b/tests/node/test_platform.py
@@ -44,7 +44,7 @@
     async def __aexit__(self, *exc):
         await self.client.close()
         for standin in (self.table, self.objects, self.vm_list):
-            await standin.close()
+            await standin.stop()
 
     async def next(self, kind):
         while True:
