Forward waiting requests when no local worker is left

Cause: a request was forwarded to another data centre only on arrival. Those that waited when the last local worker failed, and retries, waited until their deadline beside free slots elsewhere. Retries that wait also counted as in flight, which made the expected wait too short.

Change: a retry without a free worker may be forwarded; waiting requests are forwarded while nothing is in flight. Retries that wait are counted by the queue.

Conclusion: a data centre without workers empties its queue.

--- a/packages/core/src/skylarklug/admission.py
+++ b/packages/core/src/skylarklug/admission.py
@@ -17,13 +17,21 @@
 
 
 class Queue:
-    """Waiting requests of one service, served round robin over callers."""
+    """Waiting requests of one service, served round robin over callers.
+
+    `retrying` holds requests that wait to be sent again, outside the turns.
+    """
 
     def __init__(self):
+        self.retrying: dict[str, None] = {}
         self.length = 0
         self.callers: dict[str, collections.deque] = {}
         self.turns: collections.deque = collections.deque()
 
+    def waiting(self) -> int:
+        """Returns the number of requests without an attempt in flight."""
+        return self.length + len(self.retrying)
+
     def push(self, caller: str, req_id: str):
         """Adds a request behind the caller's others."""
         waiting = self.callers.get(caller)
--- a/packages/core/src/skylarklug/health.py
+++ b/packages/core/src/skylarklug/health.py
@@ -133,6 +133,11 @@
     return _domain(state).workers[worker]
 
 
+def table(state) -> dict[str, Health]:
+    """Returns the health of every worker of this data centre, to read."""
+    return _domain(state).workers
+
+
 def service(state, name: str) -> Service:
     """Returns the latency of a service."""
     found = _domain(state).services.get(name)
@@ -168,7 +173,11 @@
 
     Old samples lose weight, so a worker without traffic returns to 1.
     """
-    health = _domain(state).workers[worker]
+    return ratio_of(state, _domain(state).workers[worker])
+
+
+def ratio_of(state, health: Health) -> float:
+    """Returns the same as `ratio`."""
     weight = health.weight * decay(state.now - health.stamp)
     total = weight * health.mean
     if health.report:
--- a/packages/core/src/skylarklug/limits.py
+++ b/packages/core/src/skylarklug/limits.py
@@ -159,6 +159,11 @@
     return _domain(state).slots.get(worker)
 
 
+def table(state) -> dict[str, Slots]:
+    """Returns the slots of every worker of this data centre, to read."""
+    return _domain(state).slots
+
+
 def acquire(state, worker: str):
     """Counts an attempt sent to the worker."""
     slots = _domain(state).slots[worker]
--- a/packages/core/src/skylarklug/outcomes.py
+++ b/packages/core/src/skylarklug/outcomes.py
@@ -61,7 +61,7 @@
     """Measures the queue and the slots in use of every service."""
     for service, queue in admission.queues(state).items():
         attributes = {"service": service}
-        in_use = limits.demand(state, service) - queue.length
+        in_use = limits.demand(state, service) - queue.waiting()
         effects.append(
             fx.Measure("skylarklug.queue.length", queue.length, attributes)
         )
--- a/packages/core/src/skylarklug/requests.py
+++ b/packages/core/src/skylarklug/requests.py
@@ -31,19 +31,16 @@
 MEASURE_MS = 1_000
 # Retries that wait for a worker and are looked at whenever one is free.
 RETRIES_PER_PUMP = 4
+SPILLS_PER_TICK = 8
 
 
 class RequestsState:
-    """Open requests, their deadlines and hedge times, and held slots.
-
-    `retrying` holds, per service, requests that wait to be sent again.
-    """
+    """Open requests, their deadlines and hedge times, and held slots."""
 
     def __init__(self):
         self.open: dict[str, exchange.Request] = {}
         self.deadlines: list[tuple[int, str]] = []
         self.hedges: list[tuple[int, str, int]] = []
-        self.retrying: dict[str, dict[str, None]] = {}
         self.held: list[tuple[int, str]] = []
         self.last_tick = 0
         self.next_measure = 0
@@ -163,10 +160,10 @@
 
 def _forward(state, effects, req, wait) -> bool:
     """Sends the request to another data centre when that is faster."""
-    if req.hops or req.count:
+    if req.hops:
         return False
     local = routing.has_workers(state, req.service)
-    found = spill.choose(state, req.service, wait, local)
+    found = spill.choose(state, req.service, wait, local, req.avoid)
     if found is None:
         return False
     node, remote_wait = found
@@ -196,12 +193,11 @@
 
 def _pump(state, effects, service):
     """Starts queued requests while workers are free."""
-    waiting = _domain(state).retrying.get(service)
-    if waiting:
-        for req_id in list(itertools.islice(waiting, RETRIES_PER_PUMP)):
-            if _start(state, effects, _domain(state).open[req_id]):
-                del waiting[req_id]
     queue = admission.queue(state, service)
+    if queue.retrying:
+        for req_id in list(itertools.islice(queue.retrying, RETRIES_PER_PUMP)):
+            if _start(state, effects, _domain(state).open[req_id]):
+                del queue.retrying[req_id]
     while queue.length:
         req = _domain(state).open[queue.peek()]
         if req.deadline - state.now < MIN_ATTEMPT_MS:
@@ -251,9 +247,7 @@
         queue = admission.queue(state, req.service)
         queue.remove(req.caller, req.req_id)
         req.queued = False
-    waiting = _domain(state).retrying.get(req.service)
-    if waiting:
-        waiting.pop(req.req_id, None)
+    admission.queue(state, req.service).retrying.pop(req.req_id, None)
     if _domain(state).open.pop(req.req_id, None) is not None:
         limits.add_demand(state, req.service, -1)
 
@@ -335,7 +329,7 @@
             workers.mark_leaving(state, effects, attempt.worker, "refusal")
         routing.refresh_changed(state)
     req.unknown = req.unknown or outcome == retries.UNKNOWN
-    req.avoid = attempt.worker
+    req.avoid = attempt.worker or attempt.node
     req.step, req.reason = event.step, event.reason
     req.peer = attempt.worker or attempt.node
     if req.relayed:
@@ -366,9 +360,11 @@
     req.why = "retry"
     if _start(state, effects, req):
         return
+    wait = spill.expected_wait(state, req.service)
+    if _forward(state, effects, req, wait):
+        return
     # A retry that must avoid the only free worker would block the queue.
-    waiting = _domain(state).retrying.setdefault(req.service, {})
-    waiting[req.req_id] = None
+    admission.queue(state, req.service).retrying[req.req_id] = None
     limits.want_more(state, effects)
 
 
@@ -396,11 +392,37 @@
         if req is not None and not paused:
             _hedge(state, effects, req, number)
     _pump_woken(state, event, effects)
+    for service, queue in admission.queues(state).items():
+        waiting = queue.waiting()
+        if waiting and limits.demand(state, service) == waiting:
+            _spill_queue(state, effects, service, queue)
     if state.now >= domain.next_measure:
         domain.next_measure = state.now + MEASURE_MS
         outcomes.measure_queues(state, effects)
 
 
+def _spill_queue(state, effects, service, queue):
+    """Forwards waiting requests while nothing is in flight.
+
+    All local workers are then out, and the estimate of the wait, which
+    assumes that the queue is being served, says nothing.
+    """
+    for req_id in list(itertools.islice(queue.retrying, SPILLS_PER_TICK)):
+        req = _domain(state).open[req_id]
+        if not _forward(state, effects, req, req.deadline - state.now):
+            return
+        del queue.retrying[req_id]
+    for _ in range(SPILLS_PER_TICK):
+        if not queue.length:
+            return
+        req = _domain(state).open[queue.peek()]
+        wait = req.deadline - state.now
+        if not _forward(state, effects, req, wait):
+            return
+        queue.pop()
+        req.queued = False
+
+
 def _expire(state, effects, domain):
     while domain.deadlines and domain.deadlines[0][0] <= state.now:
         due, req_id = heapq.heappop(domain.deadlines)
--- a/packages/core/src/skylarklug/routing.py
+++ b/packages/core/src/skylarklug/routing.py
@@ -101,11 +101,13 @@
         free = domain.free.get(service)
         if free is None:
             free = domain.free[service] = FreeSet()
+        if usable == (worker in free.index):
+            continue
         if not usable:
             free.discard(worker)
-        elif worker not in free.index:
-            free.add(worker)
-            domain.woken[service] = None
+            continue
+        free.add(worker)
+        domain.woken[service] = None
 
 
 def _is_free(state, worker):
@@ -120,9 +122,9 @@
     if found.mode == "probe" and slots.in_use:
         return False
     usable = slots.usable(state.now)
-    fraction = health.ramp(state, found)
-    if fraction < 1.0:
+    if found.ramp_from >= 0:
         _domain(state).ramping[worker] = None
+        fraction = health.ramp(state, found)
         usable = min(usable, max(1, int(usable * fraction)))
     return slots.in_use < usable
 
@@ -144,7 +146,7 @@
     candidates = _sample(state, free, avoid)
     if not candidates:
         return None
-    scored = [(_score(state, worker), worker) for worker in candidates]
+    scored = _scores(state, candidates)
     score, best = min(scored)
     fields = {
         "req": req_id,
@@ -175,16 +177,21 @@
 def _sample(state, free, avoid):
     """Returns up to `CHOICES` distinct workers that are free now."""
     found = []
+    items = free.items
+    table = limits.table(state)
+    now = state.now
+    random = state.rng.random
     for _ in range(2 * CHOICES):
-        count = len(free.items)
+        count = len(items)
         if not count:
             break
-        worker = free.items[int(state.rng.random() * count)]
+        worker = items[int(random() * count)]
         if worker == avoid or worker in found:
             if count <= len(found) + (avoid in free.index):
                 break
             continue
-        if not _is_free(state, worker):
+        slots = table[worker]
+        if slots.in_use >= slots.usable(now):
             # Its grant ended since the last tick.
             refresh(state, worker)
             continue
@@ -194,19 +201,26 @@
     return found
 
 
-def _score(state, worker):
-    """Returns the expected latency relative to the service's own."""
-    slots = limits.get(state, worker)
-    found = health.get(state, worker)
-    others = slots.others * health.decay(state.now - slots.others_at)
-    load = (slots.in_use + others) / slots.slots
-    score = health.ratio(state, worker)
-    score *= 1.0 + OCCUPANCY_WEIGHT * load
-    score *= 1.0 + STALL_WEIGHT * found.stalls
-    fraction = health.ramp(state, found)
-    if fraction < 1.0:
-        score *= 2.0 - fraction
-    return score
+def _scores(state, candidates):
+    """Returns (expected latency relative to the service's own, worker)."""
+    slots_of = limits.table(state)
+    health_of = health.table(state)
+    now = state.now
+    scored = []
+    for worker in candidates:
+        slots = slots_of[worker]
+        found = health_of[worker]
+        load = slots.in_use
+        if slots.others:
+            load += slots.others * health.decay(now - slots.others_at)
+        score = health.ratio_of(state, found)
+        score *= 1.0 + OCCUPANCY_WEIGHT * load / slots.slots
+        if found.stalls:
+            score *= 1.0 + STALL_WEIGHT * found.stalls
+        if found.ramp_from >= 0:
+            score *= 2.0 - health.ramp(state, found)
+        scored.append((score, worker))
+    return scored
 
 
 def explain(state, kind: str, name: str) -> list[dict]:
--- a/packages/core/src/skylarklug/spill.py
+++ b/packages/core/src/skylarklug/spill.py
@@ -43,18 +43,19 @@
     return state.domains["spill"]
 
 
-def choose(state, service: str, wait_ms: float, local: bool):
+def choose(state, service: str, wait_ms: float, local: bool, avoid: str):
     """Returns (node, its expected wait) to forward to, or None.
 
     Args:
         state: The node's state.
         service: The service of the request.
         wait_ms: Expected wait in this data centre.
-        local: Whether this data centre has usable workers at all.
+        local: Whether this data centre has workers of the service.
+        avoid: A node that must not be chosen, or "".
     """
     best = None
     for node, remote in _domain(state).remotes.items():
-        if state.now - remote.at > FRESH_MS:
+        if node == avoid or state.now - remote.at > FRESH_MS:
             continue
         report = remote.services.get(service)
         if report is None:
@@ -133,7 +134,7 @@
     While requests queue, all slots are in use, so the number in flight
     divided by the mean latency is the rate at which the queue is served.
     """
-    queued = admission.queue(state, service).length
+    queued = admission.queue(state, service).waiting()
     in_flight = limits.demand(state, service) - queued
     mean = health.mean_latency(state, service)
     return (queued + 1) * mean / max(1, in_flight)
--- a/tests/core/test_requests.py
+++ b/tests/core/test_requests.py
@@ -315,6 +315,25 @@
         assert only(effects, fx.ForwardAttempt).address == "p:1"
         none(node.ask("again", deadline=9000, hops=1), fx.ForwardAttempt)
 
+    def test_queue_spills_when_all_local_workers_are_out(self):
+        """Guards against waiting for workers that are gone."""
+        listed = [
+            {"node": "palmira-1", "data_centre": "palmira", "forward": "p:1"}
+        ]
+        node = Node(count=1, nodes=listed, nodes_per_data_centre=1)
+        for number in range(9):
+            node.ask(f"r{number}", deadline=9000)
+        for number in range(8):
+            node.do(failed(f"r{number}", 1, False, step="connect"))
+        node.do(events.PeerConnected(0, "palmira-1", "palmira", 1))
+        body = {"kind": "load", "services": {"certvault": [5, 0]}}
+        node.do(events.PeerMessage(0, "palmira-1", body))
+        effects = node.tick(50)
+        assert "r8" in [
+            e.req_id for e in effects if type(e) is fx.ForwardAttempt
+        ]
+        none(effects, fx.SendAttempt)
+
 
 class TestStopping:
     def test_stop_waits_for_requests(self):
