Hedge only with spare workers or on suspicion, and eject slow workers later

Hedges of requests that are long on any worker took the last slots, and workers 3 times slower than the rest were ejected although the score already avoided them. A worker without services raised KeyError when it was listed.

Change: a hedge needs 80% of the service's workers free, or a worker that is slow or silent; it is looked at again every 50 ms. Soft ejection starts at 4 times the usual latency instead of 2.5. Slots are asked for at most every 20 ms and given up every 40 ms, instead of 50 and 100. Workers without services take no part in routing.

--- a/packages/core/src/skylarklug/health.py
+++ b/packages/core/src/skylarklug/health.py
@@ -15,8 +15,9 @@
 PRIOR_WEIGHT = 4.0
 REPORT_WEIGHT = 8.0
 FAILURES_TO_EJECT = 5
-SLOW_RATIO = 2.5
+SLOW_RATIO = 4.0
 SLOW_WEIGHT = 8.0
+SUSPECT_RATIO = 1.5
 # Answers that a slow worker gives, one at a time, before it is used again.
 PROBE_WEIGHT = 2.5
 EJECT_MS = 1_000
@@ -255,6 +256,14 @@
     _failure(state, effects, worker, health, "refusals")
 
 
+def is_suspect(state, worker: str) -> bool:
+    """Tells whether a worker has shown signs of being slow or dead."""
+    health = _domain(state).workers.get(worker)
+    if health is None or health.mode != "ok" or health.stalls > 1:
+        return True
+    return ratio_of(state, health) > SUSPECT_RATIO
+
+
 def stalled(state, effects, worker: str):
     """Takes an attempt that is slower than the 95th percentile."""
     health = _domain(state).workers.get(worker)
@@ -370,9 +379,11 @@
             stats = service(state, health.service)
             stats.soft.discard(worker)
             stats.workers -= 1
-    for vm in event.added:
+    for vm in (*event.added, *event.changed):
         if vm.data_centre != state.data_centre or not vm.services:
             continue
+        if vm.vm in domain.workers:
+            continue
         health = domain.workers[vm.vm] = Health(vm.services[0])
         service(state, health.service).workers += 1
         # The workers of the first list have been serving already.
--- a/packages/core/src/skylarklug/lending.py
+++ b/packages/core/src/skylarklug/lending.py
@@ -12,7 +12,7 @@
 # Outlasts every grant of the former lender.
 LENDER_WAIT_MS = 2_200
 # A holder is asked to give up slots at most this often.
-SHRINK_INTERVAL_MS = 100
+SHRINK_INTERVAL_MS = 40
 
 # Spreads the rounding of shares evenly over the workers of a partition.
 _GOLDEN_RATIO = 0.6180339887498949
--- a/packages/core/src/skylarklug/limits.py
+++ b/packages/core/src/skylarklug/limits.py
@@ -13,7 +13,7 @@
 
 RENEW_MS = 500
 # Grants asked for outside the renewal interval are at least this far apart.
-ON_DEMAND_MS = 50
+ON_DEMAND_MS = 20
 
 
 class Slots:
@@ -416,7 +416,7 @@
     for worker in event.removed:
         domain.slots.pop(worker, None)
     for vm in (*event.added, *event.changed):
-        if vm.data_centre == state.data_centre:
+        if vm.data_centre == state.data_centre and vm.services:
             _set_worker(state, vm)
     _index(state)
     for book in domain.lenders.values():
--- a/packages/core/src/skylarklug/requests.py
+++ b/packages/core/src/skylarklug/requests.py
@@ -23,6 +23,9 @@
 # Attempts are not started with less time left than this.
 MIN_ATTEMPT_MS = 5
 HEDGE_MIN_MS = 50
+# Share of a service's workers that must be free for a hedge on suspicion of
+# the request alone.
+HEDGE_SPARE_FRACTION = 0.8
 # The adapter ends every attempt at its timeout; this bounds a lost report.
 LOST_REPORT_MS = 5_000
 # A gap between ticks beyond this means that this node was paused, so that
@@ -444,20 +447,34 @@
             _drop(state, effects, req)
 
 
+def _may_hedge(state, req, attempt):
+    # A hedge takes no slot that a waiting request could use. Most requests
+    # beyond the 95th percentile are long on any worker, and hedging them on
+    # a busy service costs more in queues than it gains.
+    if admission.queue(state, req.service).length:
+        return False
+    free = routing.free_workers(state, req.service)
+    total = health.service(state, req.service).workers
+    if free >= HEDGE_SPARE_FRACTION * total:
+        return True
+    return free > 0 and health.is_suspect(state, attempt.worker)
+
+
 def _hedge(state, effects, req, number):
     attempt = req.attempts.get(number)
     if attempt is None or req.relayed:
         return
-    health.stalled(state, effects, attempt.worker)
-    routing.refresh_changed(state)
+    if not attempt.stalled:
+        attempt.stalled = True
+        health.stalled(state, effects, attempt.worker)
+        routing.refresh_changed(state)
     if not req.idempotent or len(req.attempts) > 1:
         return
     if req.deadline - state.now < MIN_ATTEMPT_MS:
         return
-    # A hedge takes no slot that a waiting request could use.
-    if admission.queue(state, req.service).length:
-        return
-    if not routing.free_workers(state, req.service):
+    if not _may_hedge(state, req, attempt):
+        entry = (state.now + HEDGE_MIN_MS, req.req_id, number)
+        heapq.heappush(_domain(state).hedges, entry)
         return
     if not retries.withdraw(state):
         return
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -34,26 +34,18 @@
         self.now = 0
         self.order = itertools.count()
         self.queue = []
-        self.states = {}
         self.down = set()
-        self.paused = {}
         self.cut = set()
         self.delay = 1
-        self.last = {}
-        self.workers = {}
-        self.owners = {}
+        self.states, self.workers, self.owners = {}, {}, {}
+        self.paused, self.last = {}, {}
         self.exited = set()
-        self.lose_answers = 0.0
-        self.late_answers = 0.0
-        self.cut_answers = 0.0
+        self.lose_answers = self.late_answers = self.cut_answers = 0.0
         self.runs = collections.Counter()
         self.attempts = 0
-        self.work = {}
-        self.home = {}
-        self.idempotent = {}
+        self.work, self.home, self.idempotent = {}, {}, {}
         self.outcomes = collections.defaultdict(list)
-        self.latency = {}
-        self.live = {}
+        self.latency, self.live = {}, {}
         self.on_effect = None
         self.on_reduce = reducer.reduce
         names = [(dc, f"{dc}-{i}") for dc in dcs for i in range(nodes)]
@@ -67,11 +59,9 @@
         for dc in dcs:
             for i in range(count):
                 name = f"{dc[0]}-{i:04d}"
-                vm = events.Vm(
-                    name, dc, f"rack-{i // 8}", "live", name, name,
-                    16, 60000, 0, (SERVICE,), 8, 64,
-                )  # fmt: skip
-                self.workers[name] = Worker(vm)
+                place = (name, dc, f"rack-{i // 8}", "live", name, name)
+                size = (16, 60000, 0, (SERVICE,), 8, 64)
+                self.workers[name] = Worker(events.Vm(*place, *size))
             for index in range(self.settings.get("partitions", 1)):
                 owner = f"{dc}-{index % nodes}"
                 self.owners[f"{dc}/{index}"] = (owner, 1)
@@ -95,12 +85,8 @@
         self.down.discard(node)
         self.live[node] = {}
         vms = tuple(w.vm for w in self.workers.values())
-        stream = [
-            events.NodeStarted(
-                0, node, dc, "valle", self.now, seed, self.settings
-            ),
-            events.VmListRead(0, 1, vms),
-        ]
+        me = (node, dc, "valle", self.now, seed, self.settings)
+        stream = [events.NodeStarted(0, *me), events.VmListRead(0, 1, vms)]
         for partition, (owner, epoch) in self.owners.items():
             if owner == node:
                 acquired = (0, partition, epoch, False)
@@ -276,9 +262,8 @@
         self.feed(node, events.RequestClosed(0, req_id, whole))
 
     def _fail(self, node, req_id, attempt, sent, refused, step, leaving, delay):
-        failed = events.AttemptFailed(
-            0, req_id, attempt, sent, refused, leaving, step, step
-        )
+        what = (sent, refused, leaving, step, step)
+        failed = events.AttemptFailed(0, req_id, attempt, *what)
         self.at(self.now + delay, self._failed, node, failed)
 
     def _failed(self, node, failed):
--- a/tests/core/test_requests.py
+++ b/tests/core/test_requests.py
@@ -4,6 +4,7 @@
 
 from skylarklug import effects as fx
 from skylarklug import events
+from skylarklug import health
 from skylarklug import limits
 from skylarklug import reducer
 from skylarklug import routing
@@ -89,6 +90,36 @@
         assert workers.is_leaving(node.state, "w-0")
         none(node.ask("r2"), fx.SendAttempt)
 
+    def test_worker_without_services_gains_one(self):
+        """Guards against workers that only run tasks when first listed."""
+        node = Node(count=0)
+        node.do(events.VmListRead(0, 1, (vm("w-0", services=()),)))
+        node.do(events.VmListRead(0, 2, (vm("w-0"),)))
+        assert only(node.ask("r1"), fx.SendAttempt).worker == "w-0"
+
+    def test_worker_removed_with_requests_in_flight(self):
+        """Guards against a crash when a late answer names a gone worker."""
+        node = Node(count=1)
+        node.ask("r1")
+        node.ask("r2")
+        node.do(events.VmListRead(0, 2, ()))
+        node.do(events.AttemptHeaders(0, "r1", 1, 200, False))
+        node.do(events.AttemptDone(0, "r1", 1, 200, 1))
+        effects = node.do(failed("r2", 1, True))
+        none(effects, fx.SendAttempt)
+        answer = only(node.tick(2000), fx.AnswerError)
+        assert (answer.status, answer.outcome) == (504, "unknown")
+
+    def test_unconfirmed_signal_is_dropped(self):
+        """Guards against a worker that restarts and is never used again."""
+        node = Node(count=1)
+        node.ask("r1")
+        node.do(failed("r1", 1, True, True, True))
+        node.tick(60_000)
+        assert workers.is_leaving(node.state, "w-0")
+        node.tick(121_000)
+        assert only(node.ask("r2"), fx.SendAttempt).worker == "w-0"
+
     def test_partition_of_a_rack_is_stable(self):
         """Guards against racks that change owner when another is added."""
         node = Node(partitions=3)
@@ -209,6 +240,19 @@
         late = events.AttemptHeaders(0, "r1", 1, 200, False)
         assert node.do(late) == []
 
+    def test_busy_service_hedges_only_from_a_suspect_worker(self):
+        """Guards against hedges that take the last slots of a busy service."""
+        node = Node(count=4)
+        for number in range(30):
+            node.ask(f"r{number}", deadline=9000)
+            head = events.AttemptHeaders(0, f"r{number}", 1, 200, False)
+            node.do(head)
+        first = only(node.ask("x", deadline=9000), fx.SendAttempt)
+        for at in range(50, 350, 50):
+            none(node.tick(at), fx.SendAttempt)
+        health.get(node.state, first.worker).stalls = 2
+        assert only(node.tick(400), fx.SendAttempt).req_id == "x"
+
     def test_non_idempotent_is_never_hedged(self):
         """Guards I6 against hedges."""
         node = Node()
