Write the trace header and refuse parts of events as events

Cause: a node wrote its events without the header, so no recorded trace could be replayed. The reader also took nested types such as Row as events, which ended a replay with an AttributeError.

Change: the node writes the header when it opens the file. Only types with the field `at` are events. The import moved to the module's head.

--- a/packages/core/src/skylarklug/trace.py
+++ b/packages/core/src/skylarklug/trace.py
@@ -17,10 +17,11 @@
 FORMAT = "skylarklug-trace"
 VERSION = 1
 
+# Types without the field `at`, such as `Vm`, are only parts of events.
 _TYPES = {
     name: kind
     for name, kind in vars(events).items()
-    if isinstance(kind, type) and hasattr(kind, "_fields")
+    if isinstance(kind, type) and "at" in getattr(kind, "_fields", ())
 }
 _ADAPTERS: dict[str, pydantic.TypeAdapter] = {}
 
--- a/packages/node/src/skylarklugd/runtime.py
+++ b/packages/node/src/skylarklugd/runtime.py
@@ -9,6 +9,7 @@
 from skylarklug import effects
 from skylarklug import events
 from skylarklug import exceptions
+from skylarklug import trace
 from skylarklugd import logs
 from skylarklugd import metrics
 from skylarklugd import operators
@@ -92,6 +93,7 @@
         )
         if self._cfg["trace"]:
             self._trace = open(self._cfg["trace"], "wb")  # noqa: SIM115
+            self._trace.write(trace.encode_header())
         await self._peers.start()
         self._operators.start()
         await self._server.start()
@@ -193,8 +195,6 @@
             self._perform(effect)
 
     def _record(self, event):
-        from skylarklug import trace
-
         self._trace.write(trace.encode_event(event))
 
     def _perform(self, effect):
