Try the next node for questions that got no answer

Cause: a question has no idempotency key, so a node that accepted the connection and then failed ended the command, although repeating a question changes nothing.

Change: only a command that changes state and has no key stops at the first node without an answer.

--- a/packages/operator/src/skylarklug_operator/client.py
+++ b/packages/operator/src/skylarklug_operator/client.py
@@ -9,6 +9,7 @@
 from tornado import simple_httpclient
 
 from skylarklug import exceptions
+from skylarklug import query
 
 REQUEST_TIMEOUT_S = 15
 
@@ -50,8 +51,11 @@
         message: Fields `command`, `key`, `if_version`, `dry_run`, `body`.
 
     Raises:
+        BadInput: The command is not valid.
         Unavailable: No node gave an answer.
     """
+    statement = query.parse(message["command"])
+    repeatable = message.get("key") or not query.changes_state(statement)
     problems = []
     for address in addresses:
         try:
@@ -59,7 +63,7 @@
         except (OSError, httpclient.HTTPError) as exc:
             problems.append(f"{address}: {exc}")
             refused = isinstance(exc, ConnectionRefusedError)
-            if refused or message.get("key"):
+            if refused or repeatable:
                 continue
             break
         return _decode(response, address)
