Reject a node's answer that is no object with a status

Cause: an answer that was a JSON array, or whose status was no text, ended the command line with a TypeError.

Change: pydantic checks the answer.

--- a/packages/operator/src/skylarklug_operator/client.py
+++ b/packages/operator/src/skylarklug_operator/client.py
@@ -5,6 +5,7 @@
 from typing import Any
 from typing import NamedTuple
 
+import pydantic
 from tornado import httpclient
 from tornado import simple_httpclient
 
@@ -14,6 +15,12 @@
 REQUEST_TIMEOUT_S = 15
 
 
+class _Body(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="allow")
+
+    status: str
+
+
 class Answer(NamedTuple):
     """A node's answer: its status and the other fields of the body."""
 
@@ -81,9 +88,9 @@
             str(response.error), step="send command", peer=address
         )
     try:
-        body = json.loads(response.body)
+        body = dict(_Body.model_validate_json(response.body))
         status = body.pop("status")
-    except (ValueError, KeyError, AttributeError) as exc:
+    except pydantic.ValidationError as exc:
         raise exceptions.ProtocolError(
             f"malformed answer with status {response.code}",
             step="read answer",
