Measure the configuration version when it comes into force

Cause: no code emitted skylarklug.config.version, although the metrics declare it and the observer checks I9 with it. The check of I9 and the count of configuration versions could therefore never see a replayed trace fail or count.

Change: configuration measures the version at each application.

Conclusion: replays now check I9.

--- a/packages/core/src/skylarklug/configuration.py
+++ b/packages/core/src/skylarklug/configuration.py
@@ -380,6 +380,9 @@
     state.raise_event(events.ConfigApplied(state.now, new_version, document))
     fields = {"version": new_version, "peer": source or "table"}
     effects.append(effects_lib.Log("info", "config-applied", fields))
+    effects.append(
+        effects_lib.Measure("skylarklug.config.version", new_version, {})
+    )
     if first and not domain.stopping:
         effects.append(effects_lib.SetReady(True, "configuration is held"))
     for peer in membership.linked(state):
