--- /dev/null
+++ b/tests/features/record.py
@@ -0,0 +1,247 @@
+"""Records the traces under tests/features/traces with fixed seeds.
+
+Run it again after a change of the events or of decisions that later events
+depend on: `python -m tests.features.record` from the repository's root. It
+writes traces only; the stated outcomes beside them are edited by hand.
+"""
+
+import functools
+import pathlib
+
+from tests.core import batch_fakes
+from tests.core import fakes
+from tests.core import shared_fakes
+
+from skylarklug import effects as fx
+from skylarklug import events
+from skylarklug import reducer
+from skylarklug import trace
+
+DIRECTORY = pathlib.Path(__file__).parent / "traces"
+JOB = {
+    "team": "sealing",
+    "kind": "batch",
+    "tasks": 12,
+    "size": {"cpus": 5.0, "memory_mb": 2000},
+    "run_time_ms": 4000,
+    "checkpoint_ms": 1000,
+}
+
+
+class Recorder:
+    """Keeps the trace of one node."""
+
+    def __init__(self, node):
+        self.node = node
+        self._items = [trace.encode_header()]
+
+    def keep(self, node, event):
+        """Adds an event if it is one of this node's."""
+        if node == self.node:
+            self._items.append(trace.encode_event(event))
+
+    def data(self):
+        """Returns the trace."""
+        return b"".join(self._items)
+
+
+class RequestSim(fakes.Sim):
+    """Requests to three nodes and their workers, recorded at one node."""
+
+    def __init__(self, seed, **options):
+        self.recorder = Recorder("yumbo-0")
+        super().__init__(seed, **options)
+
+    def feed(self, node, event):
+        self.on_reduce = functools.partial(self._reduce, node)
+        super().feed(node, event)
+
+    def _reduce(self, node, state, event):
+        self.recorder.keep(node, event)
+        return reducer.reduce(state, event)
+
+    def send_all(self, count, every_ms, node=None):
+        """Schedules requests; a quarter of them is not idempotent."""
+        for number in range(count):
+            home = node or f"yumbo-{number % 3}"
+            work, safe = self.rng.randrange(20, 200), number % 4 > 0
+            self.at(
+                100 + number * every_ms,
+                self.request, home, f"r{number}", work, safe,
+            )  # fmt: skip
+
+    def list_vms(self):
+        """Tells every node the VM list in force."""
+        vms = tuple(
+            w.vm._replace(state="leaving" if w.leaving else "live")
+            for w in self.workers.values()
+            if w.alive
+        )
+        for node in list(self.states):
+            self.feed(node, events.VmListRead(0, 2 + self.now, vms))
+
+    def leave(self, name):
+        """A worker starts to leave; the VM list shows it 2 s later."""
+        self.workers[name].leaving = True
+        self.at(self.now + 2000, self.list_vms)
+
+
+def record_lost_answers():
+    """Lost and cut answers; one worker is reset, another falls silent."""
+    sim = RequestSim(21, count=6)
+    sim.lose_answers, sim.cut_answers, sim.late_answers = 0.1, 0.03, 0.05
+    sim.send_all(600, 10)
+    sim.at(2000, sim.kill, "y-0001", True)
+    sim.at(3500, sim.kill, "y-0002", False)
+    sim.at(4000, sim.list_vms)
+    sim.run(18_000)
+    return sim.recorder
+
+
+def record_leaving_workers():
+    """Two workers leave under load for longer than the limit of I7."""
+    sim = RequestSim(22, count=6)
+    sim.send_all(600, 20)
+    sim.at(1500, sim.leave, "y-0000")
+    sim.at(3000, sim.leave, "y-0003")
+    sim.run(16_000)
+    return sim.recorder
+
+
+def record_planned_stop():
+    """A node stops while requests are in flight."""
+    stop = {"stop": {"notice_ms": 1000, "drain_ms": 4000}}
+    sim = RequestSim(23, count=6, settings=stop)
+    sim.send_all(250, 8, node="yumbo-0")
+    sim.at(1500, sim.feed, "yumbo-0", events.StopRequested(0))
+    sim.run(12_000)
+    return sim.recorder
+
+
+class TaskCluster(shared_fakes.Cluster):
+    """Nodes with table and links, and workers that run tasks."""
+
+    def __init__(self, seed, sizes, recorder, workers=0, **settings):
+        super().__init__(seed, sizes, **settings)
+        self.recorder = recorder
+        self.observers.append(
+            lambda cluster, node, event, effects: recorder.keep(
+                node.name, event
+            )
+        )
+        self.fail = 0.0
+        self.workers = {}
+        for index in range(workers):
+            vm = events.Vm(
+                f"w-{index}", "yumbo", "r0", "live", "control", "control", 16.0,
+                60_000, 0,
+                (), 8, 64,
+            )  # fmt: skip
+            self.workers[vm.vm] = batch_fakes.Worker(self, vm)
+        self.performers[fx.SyncWorker] = self._sync
+        self.answers = {}
+        self.performers[fx.AnswerCommand] = self._answered
+
+    def check_start(self, worker, command):
+        """The replay's observer checks what starts where."""
+
+    def _answered(self, node, effect):
+        self.answers[effect.op_id] = effect.status
+
+    def feed_to(self, name, event):
+        """Feeds an event to a node if it runs."""
+        node = self.nodes[name]
+        self.feed(node, node.starts, event)
+
+    def list_vms(self):
+        """Tells every node the VM list in force."""
+        vms = tuple(w.vm for w in self.workers.values() if not w.dead)
+        for name in self.nodes:
+            self.feed_to(name, events.VmListRead(0, 1 + self.now, vms))
+
+    def kill_worker(self, name):
+        """Ends a worker; the VM list drops it 1 s later."""
+        self.workers[name].dead = True
+        self.at(self.now + 1000, self.list_vms)
+
+    def command(self, name, text, if_version=0, body=None):
+        """Sends an operator's command to a node."""
+        ident = f"command-{len(self.answers)}"
+        self.answers[ident] = None
+        event = events.CommandArrived(
+            0, ident, "ana", "write", text, ident, if_version, False,
+            body or {},
+        )  # fmt: skip
+        self.feed_to(name, event)
+
+    def _sync(self, node, effect):
+        self.at(self.now + 2, self._at_worker, node, node.starts, effect)
+
+    def _at_worker(self, node, start, effect):
+        worker = self.workers[effect.worker]
+        head = (0, effect.worker, effect.seq)
+        if worker.dead:
+            failed = events.WorkerSyncFailed(*head, "timeout", "timeout")
+            at = self.now + effect.timeout_ms
+            self.at(at, self.feed, node, start, failed)
+            return
+        status, items = worker.handle(effect)
+        event = events.WorkerSynced(
+            0, self.now, effect.worker, effect.seq, status, worker.epoch,
+            worker.clock(), worker.revision, False,
+            not effect.known_revision, items, None,
+        )  # fmt: skip
+        self.at(self.now + 3, self.feed, node, start, event)
+
+
+def record_lost_worker():
+    """A job of 12 tasks survives the loss of one of three workers."""
+    recorder = Recorder("yumbo-1")
+    cluster = TaskCluster(31, {"yumbo": 1}, recorder, workers=3)
+    cluster.start()
+    cluster.at(10, cluster.list_vms)
+    cluster.at(6000, cluster.command, "yumbo-1", "submit -", 0, JOB)
+    cluster.at(8500, cluster.kill_worker, "w-1")
+    cluster.run(60_000)
+    return recorder
+
+
+def record_configuration():
+    """Two operators race, then one rolls back; another node restarts."""
+    recorder = Recorder("yumbo-2")
+    cluster = TaskCluster(32, {"yumbo": 3}, recorder)
+    cluster.start()
+    for at, node, text, version in (
+        (6000, "yumbo-1", "set services.certvault.queue 50", 0),
+        (8000, "yumbo-1", "set services.certvault.queue 60", 2),
+        (8000, "yumbo-2", "set services.certvault.queue 70", 2),
+        (10_000, "yumbo-3", "rollback 1", 0),
+        (14_000, "yumbo-2", 'set drained ["w-1"]', 0),
+    ):
+        cluster.at(at, cluster.command, node, text, version)
+    cluster.at(12_000, cluster.kill, "yumbo-1")
+    cluster.at(16_000, cluster.start, "yumbo-1")
+    cluster.run(25_000)
+    return recorder
+
+
+TRACES = {
+    "configuration": record_configuration,
+    "leaving-workers": record_leaving_workers,
+    "lost-answers": record_lost_answers,
+    "lost-worker": record_lost_worker,
+    "planned-stop": record_planned_stop,
+}
+
+
+def main():
+    """Writes every trace."""
+    DIRECTORY.mkdir(exist_ok=True)
+    for name, record in TRACES.items():
+        data = record().data()
+        (DIRECTORY / f"{name}.trace").write_bytes(data)
+        print(f"{name}: {len(data)} bytes")
+
+
+if __name__ == "__main__":
+    main()
