Record the trace of a node that takes over a partition

Cause: no shipped trace held a take-over.

Change: the recorder keeps the traces of all nodes of a cluster, and the trace lost-node is that of the new owner.

--- a/tests/features/record.py
+++ b/tests/features/record.py
@@ -14,6 +14,7 @@
 
 from skylarklug import effects as fx
 from skylarklug import events
+from skylarklug import ownership
 from skylarklug import reducer
 from skylarklug import trace
 
@@ -121,13 +122,13 @@
 class TaskCluster(shared_fakes.Cluster):
     """Nodes with table and links, and workers that run tasks."""
 
-    def __init__(self, seed, sizes, recorder, workers=0, **settings):
+    def __init__(self, seed, sizes, workers=0, **settings):
         super().__init__(seed, sizes, **settings)
-        self.recorder = recorder
+        self.recorders = {name: Recorder(name) for name in self.nodes}
         self.observers.append(
-            lambda cluster, node, event, effects: recorder.keep(
-                node.name, event
-            )
+            lambda cluster, node, event, effects: self.recorders[
+                node.name
+            ].keep(node.name, event)
         )
         self.fail = 0.0
         self.workers = {}
@@ -196,20 +197,18 @@
 
 def record_lost_worker():
     """A job of 12 tasks survives the loss of one of three workers."""
-    recorder = Recorder("yumbo-1")
-    cluster = TaskCluster(31, {"yumbo": 1}, recorder, workers=3)
+    cluster = TaskCluster(31, {"yumbo": 1}, workers=3)
     cluster.start()
     cluster.at(10, cluster.list_vms)
     cluster.at(6000, cluster.command, "yumbo-1", "submit -", 0, JOB)
     cluster.at(8500, cluster.kill_worker, "w-1")
     cluster.run(60_000)
-    return recorder
+    return cluster.recorders["yumbo-1"]
 
 
 def record_configuration():
     """Two operators race, then one rolls back; another node restarts."""
-    recorder = Recorder("yumbo-2")
-    cluster = TaskCluster(32, {"yumbo": 3}, recorder)
+    cluster = TaskCluster(32, {"yumbo": 3})
     cluster.start()
     for at, node, text, version in (
         (6000, "yumbo-1", "set services.certvault.queue 50", 0),
@@ -222,13 +221,33 @@
     cluster.at(12_000, cluster.kill, "yumbo-1")
     cluster.at(16_000, cluster.start, "yumbo-1")
     cluster.run(25_000)
-    return recorder
+    return cluster.recorders["yumbo-2"]
+
+
+def record_lost_node():
+    """The owner of the partition dies; the node that takes over records."""
+    cluster = TaskCluster(33, {"yumbo": 2}, workers=2)
+
+    def owner():
+        for name in cluster.nodes:
+            state = cluster.nodes[name].state
+            if state is not None and ownership.epoch_of(state, "yumbo/0"):
+                return name
+        return ""
+
+    cluster.start()
+    cluster.at(10, cluster.list_vms)
+    cluster.at(8000, lambda: cluster.command(owner(), "submit -", 0, JOB))
+    cluster.at(9500, lambda: cluster.kill(owner()))
+    cluster.run(90_000)
+    return cluster.recorders[owner()]
 
 
 TRACES = {
     "configuration": record_configuration,
     "leaving-workers": record_leaving_workers,
     "lost-answers": record_lost_answers,
+    "lost-node": record_lost_node,
     "lost-worker": record_lost_worker,
     "planned-stop": record_planned_stop,
 }
--- a/tests/features/replay.feature
+++ b/tests/features/replay.feature
@@ -14,6 +14,7 @@
       | configuration   |
       | leaving-workers |
       | lost-answers    |
+      | lost-node       |
       | lost-worker     |
       | planned-stop    |
 
