Add the report of a trace

Cause: a trace could be replayed and counted, but not looked at over time.

Change: `skylarklug report TRACE --to FILE.html` replays a trace and writes one page with latency quantiles, finished tasks and evictions per interval, marked with configuration versions, take-overs and lost workers. Matplotlib loads only for this command.

--- a/packages/operator/src/skylarklug_operator/main.py
+++ b/packages/operator/src/skylarklug_operator/main.py
@@ -63,6 +63,9 @@
     parser.add_argument(
         "--outcomes", default="", metavar="FILE", help="for replay"
     )
+    parser.add_argument(
+        "--to", default="", metavar="FILE", help="page to write, for report"
+    )
     parser.add_argument(
         "command", nargs="*", help="a command; without one, a shell starts"
     )
@@ -137,17 +140,28 @@
     return code
 
 
+def _use_trace(args) -> int:
+    """Runs `replay` or `report`; neither needs a node."""
+    name, *traces = args.command
+    if len(traces) != 1:
+        raise exceptions.BadInput(f"{name} takes one trace", step=name)
+    if name == "replay":
+        return replay.run(traces[0], args.outcomes, args.output)
+    if not args.to:
+        raise exceptions.BadInput("report needs --to FILE", step=name)
+    # Imported here because matplotlib takes longer to load than most
+    # commands take to run.
+    from skylarklug_operator import report
+
+    return report.run(traces[0], args.to)
+
+
 def main(argv=None) -> int:
-    """Runs one command, a replay or the shell; returns the exit code."""
+    """Runs a command, a replay, a report or the shell; returns the code."""
     args = _parse(argv)
-    if args.command[:1] == ["replay"]:
-        if len(args.command) != 2:
-            return _fail(
-                "bad-input",
-                exceptions.BadInput("replay takes one trace", step="replay"),
-            )
+    if args.command[:1] in (["replay"], ["report"]):
         try:
-            return replay.run(args.command[1], args.outcomes, args.output)
+            return _use_trace(args)
         except exceptions.BadInput as exc:
             return _fail("bad-input", exc)
     if not args.command:
