--- /dev/null
+++ b/bench/shared_state.py
@@ -0,0 +1,512 @@
+"""Measurements of shared state in virtual time, with fixed seeds.
+
+Gaps, conflicts, spread, bytes and table operations follow from the seeds.
+CPU figures depend on the machine; compare them within one run.
+"""
+
+import collections
+import json
+import random
+import statistics
+import time
+
+import cbor2
+import tabulate
+from tests.core import shared_fakes
+
+from skylarklug import configuration
+from skylarklug import effects as fx
+from skylarklug import events
+from skylarklug import membership
+from skylarklug import ownership
+from skylarklug import snapshot
+from skylarklug import table
+
+GAP_SEEDS = 100
+START_SEEDS = 20
+SPREAD_SEEDS = 3
+SPREAD_CHANGES = 5
+PROFILE_MS = 120_000
+CHANGES_PER_DAY = 2_100
+TEAMS = 130
+DAY_MS = 86_400_000
+
+
+def layout(nodes):
+    """Returns data centre sizes and regions as in section 1."""
+    if nodes == 9:
+        return {"yumbo": 3, "palmira": 3, "jamundi": 3}, {}
+    centres = [f"dc{index:02}" for index in range(11)]
+    regions = {name: f"region{i % 5}" for i, name in enumerate(centres)}
+    return dict.fromkeys(centres, nodes // 11), regions
+
+
+def cluster_of(nodes, seed, **settings):
+    sizes, regions = layout(nodes)
+    return shared_fakes.Cluster(seed, sizes, regions=regions, **settings)
+
+
+def document():
+    """Returns a configuration document of full size."""
+    teams = {
+        f"team-{index:03}": {
+            "cpus": 400.0,
+            "memory_mb": 1_600_000,
+            "accelerators": 4,
+            "weight": 1.0,
+        }
+        for index in range(TEAMS)
+    }
+    return {**configuration.EMPTY, "teams": teams}
+
+
+def show(title, rows, headers):
+    print(f"\n{title}\n")
+    print(tabulate.tabulate(rows, headers=headers, floatfmt=".2f"))
+
+
+def spread_of(values):
+    ordered = sorted(values)
+    return [
+        statistics.median(ordered),
+        ordered[int(len(ordered) * 0.95)],
+        ordered[-1],
+    ]
+
+
+# ----------------------------------------------------------------- take-over
+
+
+def owner_of(cluster, partition):
+    for node in cluster.nodes.values():
+        if node.state is not None and ownership.epoch_of(node.state, partition):
+            return node.name
+    return ""
+
+
+def gap(seed, how):
+    """Returns the time in seconds without an owner after a node's end."""
+    rng = random.Random(seed)
+    cluster = shared_fakes.Cluster(seed, {"yumbo": 3}, partitions=1)
+    cluster.start()
+    cluster.run(10_000 + rng.randint(0, 5_000))
+    name = owner_of(cluster, "yumbo/0")
+    ended_at = cluster.now
+
+    def done(state, effects, result):
+        cluster.at(cluster.now, cluster.kill, name)
+
+    if how == "planned stop, released":
+        cluster.call(name, ownership.release_all, done)
+    elif how == "planned stop, lease left to expire":
+        cluster.call(name, membership.leave, [])
+        cluster.run(cluster.now + 50)
+        cluster.kill(name)
+    else:
+        cluster.kill(name)
+    while True:
+        cluster.run(cluster.now + 10)
+        heir = owner_of(cluster, "yumbo/0")
+        if heir not in ("", name):
+            return (cluster.now - ended_at) / 1000
+
+
+def take_over():
+    rows = []
+    for how, target in (
+        ("crash", 25.0),
+        ("planned stop, released", 5.0),
+        ("planned stop, lease left to expire", None),
+    ):
+        gaps = [gap(seed, how) for seed in range(GAP_SEEDS)]
+        met = "for comparison" if target is None else max(gaps) < target
+        rows.append([how, *spread_of(gaps), target, met])
+    headers = ["end of the owner", "median s", "p95 s", "worst s"]
+    show(
+        f"Take-over gap, 3 nodes, seeds 0 to {GAP_SEEDS - 1}",
+        rows,
+        [*headers, "target s", "met"],
+    )
+
+
+# ----------------------------------------------------------------- conflicts
+
+
+def conflicts():
+    rows = []
+    for nodes in (3, 9, 33):
+        found = []
+        for seed in range(START_SEEDS):
+            if nodes == 3:
+                cluster = shared_fakes.Cluster(seed, {"yumbo": 3}, partitions=3)
+            else:
+                cluster = cluster_of(nodes, seed, partitions=3)
+            cluster.start()
+            cluster.run(10_000)
+            stats = cluster.table.stats
+            found.append((stats["conflicts"] / 10, stats["transactions"] / 10))
+        rows.append(
+            [
+                nodes,
+                statistics.median(conflict for conflict, _ in found),
+                max(conflict for conflict, _ in found),
+                max(writes for _, writes in found),
+                "120 to 150",
+            ]
+        )
+    show(
+        "Write conflicts when all nodes start at once, first 10 s, seeds 0 to "
+        f"{START_SEEDS - 1}",
+        rows,
+        ["nodes", "median/s", "worst/s", "worst writes/s", "published/s"],
+    )
+
+
+# -------------------------------------------------------- configuration spread
+
+
+def spread(nodes, seed, loss, cut_off):
+    """Returns seconds from acceptance to in force on the last node."""
+    cluster = cluster_of(nodes, seed, configuration=document())
+    cluster.start()
+    cluster.run(8_000)
+    cluster.loss = loss
+    if cut_off:
+        # One node of each data centre cannot reach the table.
+        cluster.table.cut_off = {
+            name for name in cluster.nodes if name.endswith("-3")
+        }
+        cluster.run(20_000)
+    found = []
+    for index in range(SPREAD_CHANGES):
+        accepted = []
+
+        def edit(document, index=index):
+            document["limits"] = {"index": index}
+            return document
+
+        def done(state, effects, status, body, accepted=accepted):
+            accepted.append((cluster.now, status, body["version"]))
+
+        name = next(iter(cluster.nodes))
+        cluster.call(name, configuration.change, "ana", edit, 0, done)
+        waited_until = cluster.now + 30_000
+        while cluster.now < waited_until:
+            cluster.run(cluster.now + 20)
+            held = min(
+                configuration.version(node.state)
+                for node in cluster.nodes.values()
+            )
+            if accepted and held >= accepted[0][2]:
+                break
+        assert accepted[0][1] == "done", accepted
+        found.append((cluster.now - accepted[0][0]) / 1000)
+        cluster.run(cluster.now + 2_000 + index * 137)
+    return found
+
+
+def spreads():
+    rows = []
+    for nodes in (9, 33, 99):
+        for label, loss, cut_off in (
+            ("none", 0.0, False),
+            ("30% loss", 0.3, False),
+            ("a third without the table", 0.0, True),
+            ("both", 0.3, True),
+        ):
+            found = []
+            for seed in range(SPREAD_SEEDS):
+                found += spread(nodes, seed, loss, cut_off)
+            rows.append(
+                [nodes, label, *spread_of(found), 5.0, max(found) <= 5.0]
+            )
+    show(
+        "Configuration spread, acceptance to the last node, seeds 0 to "
+        f"{SPREAD_SEEDS - 1}, {SPREAD_CHANGES} changes each",
+        rows,
+        ["nodes", "fault", "median s", "p95 s", "worst s", "target s", "met"],
+    )
+
+
+# ------------------------------------------------------------- bytes and CPU
+
+
+class Meter:
+    """Counts bytes and CPU time of all nodes."""
+
+    def __init__(self, cluster):
+        self.bytes = collections.Counter()
+        self.cpu_s = 0.0
+        self.slowest_s = 0.0
+        self.kinds = collections.Counter()
+        cluster.observers.append(self.observe)
+        original = cluster.feed
+
+        def feed(node, start, event):
+            started = time.perf_counter()
+            original(node, start, event)
+            spent = time.perf_counter() - started - self.overhead
+            self.overhead = 0.0
+            self.cpu_s += spent
+            self.slowest_s = max(self.slowest_s, spent)
+
+        self.overhead = 0.0
+        cluster.feed = feed
+
+    def observe(self, cluster, node, event, effects):
+        started = time.perf_counter()
+        if isinstance(event, events.TableAnswered):
+            answer = {
+                "status": event.status,
+                "version": event.version,
+                "rows": [row._asdict() for row in event.rows],
+            }
+            self.bytes["table"] += len(json.dumps(answer))
+        elif isinstance(event, events.PeerMessage):
+            self.bytes["peers"] += len(cbor2.dumps(event.body))
+        for effect in effects:
+            if isinstance(effect, fx.SendPeer):
+                size = len(cbor2.dumps(effect.body))
+                self.bytes["peers"] += size
+                self.kinds[effect.body["kind"]] += size
+            elif isinstance(effect, fx.CommitTable | fx.ReadTable):
+                size = len(json.dumps(effect._asdict(), default=list))
+                self.bytes["table"] += size
+        self.overhead += time.perf_counter() - started
+
+
+def profile(nodes, seed, changes):
+    cluster = cluster_of(nodes, seed, partitions=3, configuration=document())
+    cluster.start()
+    cluster.run(15_000)
+    meter = Meter(cluster)
+    stats = cluster.table.stats
+    before = dict(stats)
+    name = next(iter(cluster.nodes))
+
+    def change(index):
+        def edit(document):
+            document["limits"] = {"index": index}
+            return document
+
+        def done(state, effects, status, body):
+            assert status == "done"
+
+        cluster.call(name, configuration.change, "ana", edit, 0, done)
+
+    for index in range(changes):
+        at = cluster.now + 1_000 + index * (PROFILE_MS // max(1, changes))
+        cluster.at(at, change, index)
+    cluster.run(cluster.now + PROFILE_MS)
+    seconds = PROFILE_MS / 1000
+    per_node = seconds * nodes
+    return {
+        "peers": meter.bytes["peers"] / per_node / 1000,
+        "table": meter.bytes["table"] / per_node / 1000,
+        "config": meter.kinds["config"] * 2 / per_node / 1000,
+        "cpu_ms": meter.cpu_s * 1000 / per_node,
+        "slowest_ms": meter.slowest_s * 1000,
+        "reads": (stats["reads"] - before["reads"]) / seconds,
+        "writes": (stats["rows_written"] - before["rows_written"]) / seconds,
+    }
+
+
+def costs():
+    rows = []
+    changes = round(CHANGES_PER_DAY * PROFILE_MS / DAY_MS)
+    for nodes in (9, 33, 99):
+        for count in (0, changes):
+            found = profile(nodes, 1, count)
+            total = found["peers"] + found["table"]
+            rows.append(
+                [
+                    nodes,
+                    count,
+                    found["peers"],
+                    found["config"],
+                    found["table"],
+                    total,
+                    10.0,
+                    total <= 10.0,
+                    found["cpu_ms"],
+                    32.0,
+                    found["slowest_ms"],
+                    found["reads"],
+                    found["writes"],
+                ]
+            )
+    show(
+        f"Cost per node, sent and received, seed 1, {PROFILE_MS // 1000} s, "
+        f"document of {len(json.dumps(document()))} bytes",
+        rows,
+        [
+            "nodes",
+            "changes",
+            "peers KB/s",
+            "config KB/s",
+            "table KB/s",
+            "sum KB/s",
+            "target",
+            "met",
+            "CPU ms/s",
+            "target",
+            "slowest ms",
+            "all reads/s",
+            "all writes/s",
+        ],
+    )
+
+
+# ----------------------------------------------------------- table operations
+
+
+def operations(starts_per_s, seed):
+    """Returns table operations of 33 nodes at a rate of task starts.
+
+    Each start and each finish writes one row in the group of its partition.
+    """
+    cluster = cluster_of(33, seed, partitions=3)
+    cluster.start()
+    cluster.run(15_000)
+    rng = random.Random(seed)
+    stats = cluster.table.stats
+    before = dict(stats)
+    results = []
+    names = sorted(cluster.nodes)
+    until = cluster.now + 20_000
+
+    def write(key, partition, name, version):
+        def done(state, effects, result):
+            results.append((cluster.now - sent_at, result.status))
+            if version == 0 and result.status == "committed":
+                delay_ms = rng.randint(1_000, 3_000)
+                at = cluster.now + delay_ms
+                cluster.at(at, write, key, partition, name, result.version)
+
+        sent_at = cluster.now
+        row = {"state": "starting", "attempt": 1, "worker": "w-07", "epoch": 1}
+        cluster.call(
+            name,
+            table.commit,
+            [fx.Check(key, version)],
+            [fx.Write(key, row)],
+            done,
+            group=partition,
+        )
+
+    at = cluster.now
+    while at < until:
+        at += rng.expovariate(starts_per_s / 1000)
+        name = rng.choice(names)
+        partition = f"{name}/0"
+        key = f"task/{partition}/{rng.getrandbits(48):x}/0"
+        cluster.at(int(at), write, key, partition, name, 0)
+    cluster.run(until)
+    seconds = 20
+    waits = sorted(wait for wait, _ in results)
+    return (
+        (stats["rows_written"] - before["rows_written"]) / seconds,
+        (stats["transactions"] - before["transactions"]) / seconds,
+        (stats["reads"] - before["reads"]) / seconds,
+        statistics.median(waits),
+        waits[int(len(waits) * 0.99)],
+        sum(status != "committed" for _, status in results),
+    )
+
+
+def table_load():
+    rows = []
+    for rate in (30, 60, 120):
+        rows_s, writes, reads, median, p99, failed = operations(rate, 1)
+        met = rows_s <= 300 and reads <= 1500
+        rows.append(
+            [rate, rows_s, writes, 300, reads, 1500, met, median, p99, failed]
+        )
+    show(
+        "Table operations of 33 nodes against task starts, seed 1, 20 s",
+        rows,
+        [
+            "starts/s",
+            "rows written/s",
+            "transactions/s",
+            "target",
+            "reads/s",
+            "target",
+            "met",
+            "commit median ms",
+            "p99 ms",
+            "failed",
+        ],
+    )
+
+
+# ------------------------------------------------------------------ recovery
+
+
+def recovery(tasks, use_snapshot):
+    """Returns CPU ms of a load, virtual ms and bytes read from the table."""
+    cluster = shared_fakes.Cluster(1, {"yumbo": 1}, partitions=1)
+    cluster.start()
+    cluster.run(8_000)
+    rows = []
+    for index in range(tasks):
+        cluster.table.version += 1
+        key = f"task/yumbo/0/acme.job-{index // 100}/{index % 100}"
+        value = {
+            "state": "running",
+            "attempt": 1,
+            "worker": f"w-{index % 49:02}",
+            "epoch": 1,
+            "checkpoint": f"checkpoint/acme.job-{index // 100}/{index % 100}/1",
+            "op": f"op-yumbo-1-18bcfe56800-{index:x}",
+        }
+        cluster.table.rows[key] = (cluster.table.version, value)
+        rows.append(events.Row(key, cluster.table.version, value))
+    if use_snapshot:
+        # One row in fifty has changed since the snapshot.
+        version = cluster.table.version - tasks // 50
+        kept = [row for row in rows if row.version <= version]
+        body = snapshot.encode("yumbo/0", version, kept)
+        cluster.objects[snapshot.object_key("yumbo/0", 0)] = body
+    meter = Meter(cluster)
+    finished = []
+
+    def done(state, effects, loaded):
+        finished.append((cluster.now, len(loaded.rows)))
+
+    started_at = cluster.now
+    cluster.call("yumbo-1", snapshot.load, "yumbo/0", done)
+    while not finished:
+        cluster.run(cluster.now + 1)
+    assert finished[0][1] == tasks
+    return meter.cpu_s * 1000, finished[0][0] - started_at, meter.bytes["table"]
+
+
+def recoveries():
+    rows = []
+    for tasks in (100, 1_000, 10_000):
+        for use_snapshot in (False, True):
+            runs = [recovery(tasks, use_snapshot) for _ in range(5)]
+            cpu_ms = statistics.median(run[0] for run in runs)
+            source = "snapshot" if use_snapshot else "full read"
+            virtual_ms = statistics.median(run[1] for run in runs)
+            rows.append([tasks, source, cpu_ms, virtual_ms, runs[0][2] / 1000])
+    show(
+        "Load of a partition by a new owner, seed 1, median of 5 runs",
+        rows,
+        ["tasks", "source", "CPU ms", "virtual ms", "table KB"],
+    )
+
+
+def main():
+    """Prints all tables."""
+    take_over()
+    conflicts()
+    spreads()
+    costs()
+    table_load()
+    recoveries()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/core/src/skylarklug/configuration.py
+++ b/packages/core/src/skylarklug/configuration.py
@@ -1,9 +1,12 @@
 """The configuration in force and its changes.
 
 A change is a compare-and-set of `config/current` that also writes a history
-and an audit row. Nodes learn it by polling the table and from peers; only a
-higher configuration version is ever applied, so an accepted one never
-reverts.
+and an audit row. Only a higher configuration version is ever applied, so an
+accepted one never reverts.
+
+Peers announce a new version without the document. A node that is behind reads
+the table at once and asks the peer for the document when the table does not
+answer soon: sending the document over every link costs several KB/s per node.
 """
 
 from collections.abc import Callable
@@ -28,9 +31,11 @@
 CHANGE_DEADLINE_MS = 4_000
 CREATE_DELAY_MS = 1_000
 MAX_DOCUMENT_BYTES = 48 * 1024
-# A peer that reports an older version is sent the document again at most this
-# often, as its report may have crossed the first copy.
-RESEND_INTERVAL_MS = 300
+REPOLL_INTERVAL_MS = 200
+ASK_DELAY_MS = 400
+# With 30% loss a question and its answer both arrive in 49% of all cases; 16
+# questions fit into the 5 s that a change may take.
+ASK_INTERVAL_MS = 250
 
 _STRICT = pydantic.ConfigDict(extra="forbid", strict=True, allow_inf_nan=False)
 _Positive = Annotated[int, pydantic.Field(gt=0)]
@@ -102,7 +107,10 @@
         self.poll_at = 0
         self.create_at = 0
         self.stopping = False
-        self.sent_at: dict[str, int] = {}
+        # The newest version that a peer reported, and that peer.
+        self.ahead = 0
+        self.ahead_peer = ""
+        self.ask_at = 0
         self.started_at = 0
 
 
@@ -320,15 +328,16 @@
     effects.append(effects_lib.Log("info", "config-applied", fields))
     if first and not domain.stopping:
         effects.append(effects_lib.SetReady(True, "configuration is held"))
+    known = membership.versions(state)
     for peer in membership.linked(state):
-        if peer != source:
+        if known.get(peer, 0) < new_version:
             _send(state, effects, peer)
 
 
-def _send(state, effects, peer):
-    domain = state.domains["configuration"]
-    domain.sent_at[peer] = state.now
-    fields = {"version": domain.version, "document": domain.document}
+def _send(state, effects, peer, document=None, want=False):
+    """Announces the version held, with the document or asking for one."""
+    version = state.domains["configuration"].version
+    fields = {"version": version, "document": document, "want": want}
     membership.send(state, effects, peer, "config", fields)
 
 
@@ -336,12 +345,27 @@
     domain = state.domains["configuration"]
     body = event.body
     kind = body.get("kind")
-    if kind == "config":
+    if kind not in ("config", "ping", "ack"):
+        return
+    theirs = body.get("version", 0)
+    if body.get("want") and theirs < domain.version:
+        _send(state, effects, event.peer, domain.document)
+    elif body.get("document") is not None:
         _take(state, effects, event.peer, body)
-    elif kind in ("ping", "ack") and body.get("version", 0) < domain.version:
-        sent_at = domain.sent_at.get(event.peer, -RESEND_INTERVAL_MS)
-        if state.now - sent_at >= RESEND_INTERVAL_MS:
-            _send(state, effects, event.peer)
+    elif theirs > domain.version:
+        _learn(state, event.peer, theirs)
+
+
+def _learn(state, peer, theirs):
+    """Notes that a peer holds a higher version."""
+    domain = state.domains["configuration"]
+    if theirs < domain.ahead:
+        return
+    if domain.ahead <= domain.version or theirs > domain.ahead:
+        domain.poll_at = state.now
+        domain.ask_at = state.now + ASK_DELAY_MS
+    domain.ahead = theirs
+    domain.ahead_peer = peer
 
 
 def _take(state, effects, peer, body: Mapping[str, Any]):
@@ -373,6 +397,10 @@
         domain.table_version = max(domain.table_version, result.version)
         for row in result.rows:
             _apply_row(state, effects, row)
+        if domain.ahead > domain.version:
+            # The read may have been answered before the change.
+            repoll_at = state.now + REPOLL_INTERVAL_MS
+            domain.poll_at = min(domain.poll_at, repoll_at)
         if not domain.version and not domain.create_at:
             delay_ms = state.rng.randint(0, CREATE_DELAY_MS)
             domain.create_at = state.now + delay_ms
@@ -420,6 +448,9 @@
         jitter_ms = state.rng.randint(0, POLL_INTERVAL_MS // 10)
         domain.poll_at = state.now + POLL_INTERVAL_MS - jitter_ms
         _poll(state, effects)
+    if domain.ahead > domain.version and state.now >= domain.ask_at:
+        domain.ask_at = state.now + ASK_INTERVAL_MS
+        _send(state, effects, domain.ahead_peer, want=True)
     if domain.create_at and state.now >= domain.create_at:
         domain.create_at = 0
         if not domain.version:
--- a/packages/core/src/skylarklug/ownership.py
+++ b/packages/core/src/skylarklug/ownership.py
@@ -38,6 +38,7 @@
 names = partitions_lib.names
 owner_of = partitions_lib.owner_of
 score = partitions_lib.score
+table_version = partitions_lib.table_version
 
 
 def new_state() -> OwnershipState:
@@ -61,6 +62,7 @@
 
     def done(state, effects, result):
         own.busy = False
+        own.answered_at = state.now
         if result.status == "committed":
             _on_committed(state, effects, result, sent_at, writes)
         elif result.status == "conflict":
@@ -142,6 +144,7 @@
     if ours and value.get("state") == "held":
         # An earlier transaction took effect although it was not answered.
         own.version = mine[0].version
+        partitions_lib.forget_claims(state)
         return
     _lose_lease(state, effects, mine[0])
 
@@ -188,8 +191,9 @@
         own.polling = False
         if result.status != "read":
             return
-        _on_polled(state, effects, result)
+        _on_polled(state, effects, result, sent_at)
 
+    sent_at = state.now
     own.polling = True
     table.read(
         state,
@@ -203,7 +207,7 @@
     )
 
 
-def _on_polled(state, effects, result):
+def _on_polled(state, effects, result, sent_at):
     own = state.domains["ownership"]
     gap_ms = state.now - own.polled_at if own.polled_at >= 0 else 0
     first = own.polled_at < 0
@@ -214,16 +218,28 @@
     for row in result.rows:
         if row.key.startswith("node/"):
             partitions_lib.take_lease(state, row)
-        else:
+        if row.key == f"node/{state.node}" and _is_fenced(own, row):
+            _lose_lease(state, effects, row)
+    for row in result.rows:
+        if row.key.startswith("partition/"):
             partitions_lib.take_partition(state, row)
     if first:
         _start_lease(state)
+    if not own.busy and sent_at >= own.answered_at:
+        partitions_lib.restore_claims(state)
     if own.claimed.keys() - own.owned.keys():
         # The answer to a claim was lost; a held lease must cover it.
         own.renew_at = state.now
     _decide(state, effects)
 
 
+def _is_fenced(own, row):
+    value = row.value or {}
+    ours = value.get("incarnation") == own.incarnation
+    is_held = ours and value.get("state") == "held"
+    return own.has_lease and row.version > own.version and not is_held
+
+
 def _start_lease(state):
     """Takes the lease row over from an earlier start of this node."""
     own = state.domains["ownership"]
--- a/packages/core/src/skylarklug/partitions.py
+++ b/packages/core/src/skylarklug/partitions.py
@@ -57,6 +57,7 @@
         self.suspended = False
         self.resumed_at = 0
         self.busy = False
+        self.answered_at = 0
         self.renew_at = 0
         self.settled_at = 0
         self.balance_at = 0
@@ -109,6 +110,11 @@
     return "suspended"
 
 
+def table_version(state) -> int:
+    """Returns the table version at the last poll."""
+    return state.domains["ownership"].poll_version
+
+
 def list_partitions(state) -> list[dict[str, Any]]:
     """Returns one row per partition for the query language."""
     own = state.domains["ownership"]
@@ -194,6 +200,32 @@
         lose(state, name, "another owner")
 
 
+def forget_claims(state):
+    """Drops claims not yet announced, as a late release may have ended them.
+
+    The next poll restores those that the table still shows.
+    """
+    own = state.domains["ownership"]
+    for name in list(own.claimed):
+        if name not in own.owned:
+            del own.claimed[name]
+
+
+def restore_claims(state):
+    """Claims partitions whose rows still name this node.
+
+    A hand-over that did not take effect leaves such a row. The caller makes
+    sure that no transaction of this node was under way during the poll.
+    """
+    own = state.domains["ownership"]
+    if own.stopping:
+        return
+    for name, row in own.partitions.items():
+        mine = (row.owner, row.incarnation) == (state.node, own.incarnation)
+        if mine and name not in own.claimed:
+            own.claimed[name] = (row.epoch, True)
+
+
 def take_lease(state, row):
     """Takes a newer lease row into the view."""
     own = state.domains["ownership"]
--- a/packages/core/src/skylarklug/reducer.py
+++ b/packages/core/src/skylarklug/reducer.py
@@ -12,6 +12,7 @@
     "membership",
     "ownership",
     "configuration",
+    "snapshot",
     "workers",
     "limits",
     "routing",
--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -231,6 +231,7 @@
             "incarnation": 1,
             "version": 1,
             "document": configuration.EMPTY,
+            "want": False,
         }
         node = cluster.nodes["yumbo-1"]
         cluster.feed(node, 1, events.PeerMessage(0, "yumbo-2", body))
--- a/tests/core/test_ownership.py
+++ b/tests/core/test_ownership.py
@@ -229,6 +229,30 @@
 
 
 class TestBalance:
+    def test_failed_hand_over_is_taken_back(self):
+        """Guards against a partition whose live owner does not act for it."""
+        cluster = shared_fakes.Cluster(2, THREE, partitions=3)
+        answer = cluster.table.answer
+
+        def drop_releases(at, node, effect):
+            writes = getattr(effect, "writes", ())
+            released = [w for w in writes if w.value.get("owner") == ""]
+            return None if released else answer(at, node, effect)
+
+        cluster.table.answer = drop_releases
+        cluster.start("yumbo-1")
+        cluster.run(10_000)
+        cluster.start("yumbo-2", "yumbo-3")
+        cluster.run(30_000)
+        cluster.table.answer = answer
+        cluster.run(90_000)
+        found = owners(cluster)
+        assert [name for name, _, _ in found] == [
+            "yumbo/0",
+            "yumbo/1",
+            "yumbo/2",
+        ]
+
     def test_late_nodes_get_their_share(self):
         """Guards against one node that owns everything for good."""
         cluster = shared_fakes.Cluster(2, THREE, partitions=3)
--- a/tests/core/test_shared_schedules.py
+++ b/tests/core/test_shared_schedules.py
@@ -6,6 +6,7 @@
 from tests.core import shared_fakes
 
 from skylarklug import configuration
+from skylarklug import effects as fx
 from skylarklug import events
 from skylarklug import membership
 from skylarklug import ownership
@@ -241,6 +242,10 @@
         self.check_writes()
         self.check_version(node)
         own = node.state.domains["ownership"]
+        for effect in effects:
+            if isinstance(effect, fx.PutObject):
+                partition = effect.key.split("/", 1)[1].rpartition("/")[0]
+                assert partition in own.owned
         if not own.owned:
             return
         held = ownership.mode(node.state) == "held"
