--- a/packages/core/src/skylarklug/reducer.py
+++ b/packages/core/src/skylarklug/reducer.py
@@ -18,6 +18,7 @@
 from skylarklug import requests
 from skylarklug import retries
 from skylarklug import routing
+from skylarklug import snapshot
 from skylarklug import spill
 from skylarklug import state as state_lib
 from skylarklug import stopping
@@ -31,6 +32,7 @@
     "membership": membership,
     "ownership": ownership,
     "configuration": configuration,
+    "snapshot": snapshot,
     "workers": workers,
     "limits": limits,
     "admission": admission,
