Name the region of nodes in a spill test

Cause: the merged membership module needs the region that the design names. Change: the test settings have it.

--- a/tests/core/test_requests.py
+++ b/tests/core/test_requests.py
@@ -372,7 +372,12 @@
     def test_queue_spills_when_all_local_workers_are_out(self):
         """Guards against waiting for workers that are gone."""
         listed = [
-            {"node": "palmira-1", "data_centre": "palmira", "forward": "p:1"}
+            {
+                "node": "palmira-1",
+                "data_centre": "palmira",
+                "region": "valle",
+                "forward": "p:1",
+            }
         ]
         node = Node(count=1, nodes=listed, nodes_per_data_centre=1)
         for number in range(9):
