--- a/packages/core/src/skylarklug/attempts.py
+++ b/packages/core/src/skylarklug/attempts.py
@@ -55,7 +55,7 @@
             task.settling = True
             _read_again(state, effects, task)
             return
-        task.version = result.version
+        task.version, task.row_state = result.version, tasks.STARTING
         started(state, effects, True)
 
     _commit(
@@ -86,7 +86,10 @@
         measure(effects, "finished", task)
     if report.state != "stopped":
         finished = report.state == "finished"
-        quarantine.record(state, effects, task.job.id, task.worker, finished)
+        quarantine.record(
+            state, effects, task.job.partition, task.job.id, task.worker,
+            finished,
+        )  # fmt: skip
     _write_end(state, effects, task, to, reason, acknowledge)
 
 
@@ -99,7 +102,7 @@
         if result.status != "committed":
             _resolve_end(state, effects, task, to, reason, acknowledge)
             return
-        task.version = result.version
+        task.version, task.row_state = result.version, to
         task.settling = False
         acknowledge(state, effects)
         _ended(state, effects, task, to, reason)
@@ -201,13 +204,13 @@
     if to != tasks.PENDING:
         return
     if task.job.cancelled:
-        _write_cancelled(state, effects, task)
+        write_cancelled(state, effects, task)
         return
     task.job.requeued.appendleft(task)
     placement.enqueue(state, task.job, front=True)
 
 
-def _write_cancelled(state, effects, task):
+def write_cancelled(state, effects, task):
     """Makes the cancellation of a task that runs nowhere durable."""
     task.settling = True
 
@@ -218,7 +221,7 @@
             _read_again(state, effects, task)
             return
         task.settling = False
-        task.version = result.version
+        task.version, task.row_state = result.version, tasks.CANCELLED
         if task.state not in tasks.TERMINAL:
             tasks.transition(
                 state, effects, task, tasks.CANCELLED, "job cancelled"
--- a/packages/core/src/skylarklug/index.py
+++ b/packages/core/src/skylarklug/index.py
@@ -239,9 +239,6 @@
             rejected.append((worker, _short_of(job.size, account.free)))
             continue
         failures = quarantine.failures(state, job.id, worker)
-        if failures >= quarantine.AVOID_AFTER:
-            rejected.append((worker, "failed there"))
-            continue
         score = _fragmentation(job.size, account)
         score += interference.penalty(state, job.klass, account)
         score += FAILURE_PENALTY * failures
--- a/packages/core/src/skylarklug/jobs.py
+++ b/packages/core/src/skylarklug/jobs.py
@@ -80,7 +80,13 @@
     from skylarklug import lease
 
     value = row.value
-    task.version = row.version
+    part = state.domains["jobs"].partitions[task.job.partition]
+    if value["epoch"] > part.epoch:
+        # A newer owner has written it: this node has lost the partition
+        # and ownership will say so. The task is left alone until then.
+        task.settling = True
+        return
+    task.version, task.row_state = row.version, value["state"]
     task.attempt = value["attempt"]
     task.checkpoint = value["checkpoint"]
     task.failures = value["failures"]
@@ -130,10 +136,17 @@
 
 def _cancel_tasks(state, effects, part, job):
     """Queues the stops; pending tasks need no write each."""
+    from skylarklug import attempts
+
     for task in job.tasks.values():
         if task.state in tasks.LIVE:
             part.cancelling.append(task)
-        elif task.state == tasks.PENDING and not task.settling:
+        elif task.state != tasks.PENDING or task.settling:
+            continue
+        elif task.row_state == tasks.STARTING:
+            # The attempt was proved to have ended; its row does not say so.
+            attempts.write_cancelled(state, effects, task)
+        else:
             tasks.transition(
                 state, effects, task, tasks.CANCELLED, "job cancelled"
             )
--- a/packages/core/src/skylarklug/moves.py
+++ b/packages/core/src/skylarklug/moves.py
@@ -9,6 +9,8 @@
 from skylarklug import submission
 from skylarklug import tasks
 
+OFFER_AFTER_MS = 2_000
+
 
 def offer(state, effects, job, target, actor="", done=None):
     """Moves tasks that were never started from an owned partition.
@@ -241,10 +243,30 @@
         if row.value is None:
             continue
         index = row.key.rpartition("/")[2]
-        value = dict(row.value)
+        # Epochs of two partitions do not compare.
+        value = {**row.value, "epoch": 0}
         if value["state"] not in tasks.TERMINAL:
             value |= {"state": tasks.PENDING, "reason": f"from {source}"}
         checks.append(effects_lib.Check(row.key, row.version))
         writes.append(effects_lib.Write(row.key, None))
         writes.append(effects_lib.Write(f"task/{target}/{job}/{index}", value))
     return checks, writes
+
+
+def offer_waiting(state, effects):
+    """Offers pending tasks that wait to a partition that has room."""
+    from skylarklug import jobs
+
+    mine = state.domains["placement"]
+    for name, job_id in mine.offers.due(state.now):
+        part = mine.parts.get(name)
+        if part is None or job_id not in part.queue.queued:
+            continue
+        mine.offers.add(state.now + OFFER_AFTER_MS, name, job_id)
+        job = jobs.find_job(state, name, job_id)
+        since = part.waiting.get(job_id, state.now)
+        if job is None or state.now - since < OFFER_AFTER_MS:
+            continue
+        target = submission.partition_with_room(state, job)
+        if target:
+            offer(state, effects, job, target)
--- a/packages/core/src/skylarklug/placement.py
+++ b/packages/core/src/skylarklug/placement.py
@@ -7,13 +7,14 @@
 from skylarklug import events
 from skylarklug import index
 from skylarklug import jobs
+from skylarklug import moves
+from skylarklug import preemption
 from skylarklug import queues
 from skylarklug import tasks
 
 STARTS_PER_ROUND = 32
 SHAPES_PER_TEAM = 8
 AGING_MS = 300_000
-OFFER_AFTER_MS = 2_000
 LOAD_MAX_AGE_MS = 10_000
 LOG_REPEAT_MS = 10_000
 MOVES_PER_TICK = 4
@@ -38,9 +39,11 @@
         self.parts: dict[str, Part] = {}
         self.accounts: dict[str, index.Account] = {}
         self.load = {}
-        self.aging = []
-        self.offers = []
+        self.aging = queues.Deadlines()
+        self.offers = queues.Deadlines()
         self.moving = collections.deque()
+        self.claims = {}
+        self.evictions = preemption.Evictions()
         self.drained = frozenset()
 
 
@@ -72,6 +75,7 @@
 def drop_worker(state, worker):
     """Closes the account of a worker that the platform has removed."""
     mine = state.domains["placement"]
+    mine.claims.pop(worker, None)
     account = mine.accounts.pop(worker, None)
     if account is not None and account.partition in mine.parts:
         mine.parts[account.partition].index.drop(account)
@@ -121,7 +125,6 @@
 
 def release(state, effects, worker, task_id, attempt):
     """Gives the capacity of an attempt back: its end is proved."""
-    from skylarklug import preemption
     from skylarklug import quota
 
     mine = state.domains["placement"]
@@ -152,9 +155,46 @@
     part.blocked.clear()
 
 
+def totals(state, partition):
+    """Returns the capacity of all workers of an owned partition."""
+    part = state.domains["placement"].parts.get(partition)
+    return part.index.totals if part else (0, 0, 0)
+
+
+def workers_of(state, partition) -> list:
+    """Returns the names of the workers of an owned partition."""
+    part = state.domains["placement"].parts.get(partition)
+    return list(part.index.accounts) if part else []
+
+
 # ------------------------------------------------------------------- queue
 
 
+def wake(state, partition):
+    """Looks at the queue again at the next tick."""
+    part = state.domains["placement"].parts.get(partition)
+    if part is not None:
+        part.dirty = True
+
+
+def retry(state, partition, job_id):
+    """Queues a job again that was held back."""
+    job = jobs.find_job(state, partition, job_id)
+    if job is not None:
+        enqueue(state, job)
+
+
+def may_start(state, effects, task) -> bool:
+    """Says whether quota and quarantine allow a start of the task."""
+    from skylarklug import quarantine
+    from skylarklug import quota
+
+    job = task.job
+    if job.cancelled or quarantine.blocks(state, job.id):
+        return False
+    return quota.admits(state, effects, job.partition, job.team, job.size)
+
+
 def enqueue(state, job, front=False):
     """Queues a job that has pending tasks."""
     mine = state.domains["placement"]
@@ -165,11 +205,9 @@
         return
     part.queue.add(job, job.priority, front)
     part.waiting.setdefault(job.id, state.now)
+    mine.offers.add(state.now + moves.OFFER_AFTER_MS, job.partition, job.id)
     if job.priority < queues.LEVELS - 2:
-        entry = (state.now + AGING_MS, job.partition, job.id)
-        heapq.heappush(mine.aging, entry)
-    offer = (state.now + OFFER_AFTER_MS, job.partition, job.id)
-    heapq.heappush(mine.offers, offer)
+        mine.aging.add(state.now + AGING_MS, job.partition, job.id)
     part.dirty = True
 
 
@@ -204,6 +242,7 @@
 
 def _place_team(state, effects, name, part, teams, team, level):
     """Places one task of the team; says whether it could."""
+    from skylarklug import quarantine
     from skylarklug import quota
 
     sizes = teams.get(team, {})
@@ -213,7 +252,7 @@
         while sizes.get(size):
             job = sizes[size][0]
             task = attempts.next_pending(job)
-            if task is None:
+            if task is None or quarantine.blocks(state, job.id):
                 part.queue.remove(job)
                 part.waiting.pop(job.id, None)
                 continue
@@ -232,8 +271,6 @@
 
 
 def _place_task(state, effects, name, part, task, level):
-    from skylarklug import preemption
-
     job = task.job
     if not part.index.could_ever_fit(job.size):
         _unrunnable(state, effects, name, part, job)
@@ -254,6 +291,7 @@
     is made by the claim once the stops it waits for are proved.
     """
     from skylarklug import lease
+    from skylarklug import quarantine
 
     worker, free = account.worker, account.free
     attempt = task.attempt + 1
@@ -271,6 +309,7 @@
             release(state, effects, worker, task.id, attempt)
 
     attempts.start(state, effects, task, worker, started)
+    quarantine.started(state, task.job.id, worker)
     if attempts.next_pending(task.job) is not None:
         part.waiting[task.job.id] = state.now
     tasks.log(
@@ -373,6 +412,7 @@
     for worker, account in list(mine.accounts.items()):
         if account.partition == partition:
             del mine.accounts[worker]
+            mine.claims.pop(worker, None)
 
 
 def _on_config(state, event, effects):
@@ -398,11 +438,12 @@
     if ownership.mode(state) != "held":
         return
     _move_residents(state, effects)
+    preemption.expire(state, effects)
     _age(state)
     for name, part in list(mine.parts.items()):
         if part.dirty and jobs.loaded(state, name):
             _schedule(state, effects, name, part)
-    _offer(state, effects)
+    moves.offer_waiting(state, effects)
 
 
 def _move_residents(state, effects):
@@ -426,48 +467,20 @@
 def _age(state):
     """Raises the level of jobs that wait, up to the one below urgent."""
     mine = state.domains["placement"]
-    while mine.aging and mine.aging[0][0] <= state.now:
-        _, name, job_id = heapq.heappop(mine.aging)
+    for name, job_id in mine.aging.due(state.now):
         part = mine.parts.get(name)
         if part is None or job_id not in part.queue.queued:
             continue
-        if state.now - part.waiting.get(job_id, state.now) < AGING_MS:
-            continue
-        job = find_job(state, name, job_id)
+        job = jobs.find_job(state, name, job_id)
         level = part.queue.queued[job_id]
         if job is None or level >= queues.LEVELS - 2:
             continue
-        part.queue.add(job, level + 1)
-        part.dirty = True
-        entry = (state.now + AGING_MS, name, job_id)
-        heapq.heappush(mine.aging, entry)
-
-
-def find_job(state, partition, job_id):
-    """Returns the job record of an owned partition, or None."""
-    return jobs.find_job(state, partition, job_id)
-
-
-def _offer(state, effects):
-    """Offers pending tasks that wait to a partition that has room."""
-    from skylarklug import moves
-    from skylarklug import submission
-
-    mine = state.domains["placement"]
-    while mine.offers and mine.offers[0][0] <= state.now:
-        _, name, job_id = heapq.heappop(mine.offers)
-        part = mine.parts.get(name)
-        if part is None or job_id not in part.queue.queued:
-            continue
-        entry = (state.now + OFFER_AFTER_MS, name, job_id)
-        heapq.heappush(mine.offers, entry)
-        job = find_job(state, name, job_id)
-        since = part.waiting.get(job_id, state.now)
-        if job is None or state.now - since < OFFER_AFTER_MS:
-            continue
-        target = submission.partition_with_room(state, job)
-        if target:
-            moves.offer(state, effects, job, target)
+        due = part.waiting.get(job_id, state.now) + AGING_MS
+        if due <= state.now:
+            part.queue.add(job, level + 1)
+            part.dirty = True
+            due = state.now + AGING_MS
+        mine.aging.add(due, name, job_id)
 
 
 HANDLERS = {
--- a/packages/core/src/skylarklug/queues.py
+++ b/packages/core/src/skylarklug/queues.py
@@ -1,6 +1,7 @@
 """Pending jobs of a partition in the order in which they are considered."""
 
 import collections
+import heapq
 
 LEVELS = 10
 
@@ -19,9 +20,10 @@
     def add(self, job, level, front=False):
         """Queues a job once; `front` puts it first among its size."""
         at = self.queued.get(job.id)
-        if at is not None and (at >= level) and not front:
-            return
         if at is not None:
+            if at >= level and not front:
+                return
+            level = max(level, at)
             self.remove(job)
         self.queued[job.id] = level
         sizes = self.levels[level].setdefault(job.team, {})
@@ -44,3 +46,26 @@
                     del sizes[size]
         if not sizes:
             del self.levels[level][job.team]
+
+
+class Deadlines:
+    """Times at which queued jobs are looked at, one for each job."""
+
+    def __init__(self):
+        self.heap = []
+        self.members = set()
+
+    def add(self, at, partition, job_id):
+        """Adds a job unless it has a time already."""
+        if (partition, job_id) not in self.members:
+            self.members.add((partition, job_id))
+            heapq.heappush(self.heap, (at, partition, job_id))
+
+    def due(self, now) -> list:
+        """Removes and returns the jobs whose time has come."""
+        jobs = []
+        while self.heap and self.heap[0][0] <= now:
+            _, partition, job_id = heapq.heappop(self.heap)
+            self.members.discard((partition, job_id))
+            jobs.append((partition, job_id))
+        return jobs
--- a/packages/core/src/skylarklug/residents.py
+++ b/packages/core/src/skylarklug/residents.py
@@ -247,8 +247,10 @@
         if worker.outbox.get(key) is not command:
             continue
         del worker.outbox[key]
-        if key[0] == "ack":
-            worker.residents.pop(key[1:], None)
+        resident = worker.residents.get(key[1:])
+        # A refused start is acknowledged while a lost copy may still arrive.
+        if key[0] == "ack" and resident and resident.phase == ENDED:
+            del worker.residents[key[1:]]
 
 
 def report(state, effects, worker, item):
--- a/packages/core/src/skylarklug/tasks.py
+++ b/packages/core/src/skylarklug/tasks.py
@@ -63,7 +63,7 @@
     __slots__ = (
         "job", "index", "id", "state", "attempt", "version", "worker",
         "checkpoint", "failures", "evictions", "progress", "reasons",
-        "since", "settling", "stop_reason",
+        "since", "settling", "stop_reason", "row_state",
     )  # fmt: skip
 
     def __init__(self, job, index):
@@ -82,6 +82,7 @@
         self.since = 0
         self.settling = False
         self.stop_reason = ""
+        self.row_state = ""
 
     @property
     def key(self) -> str:
