--- a/packages/core/src/skylarklug/index.py
+++ b/packages/core/src/skylarklug/index.py
@@ -11,6 +11,7 @@
 RANDOM_CANDIDATES = 4
 RACK_PENALTY = 0.25
 FAILURE_PENALTY = 0.2
+FAILURES_COUNTED = 5
 ESTIMATE_DECAY = 0.8
 URGENT = 9
 
@@ -34,7 +35,7 @@
     __slots__ = (
         "worker", "partition", "rack", "capacity", "used", "background",
         "residents", "excluded", "claim", "free", "keys", "preemptible",
-        "racks", "totals",
+        "racks", "classes",
     )  # fmt: skip
 
     def __init__(self, worker, partition, rack, capacity):
@@ -50,12 +51,15 @@
         self.keys = None
         self.preemptible = 0
         self.racks = None
+        self.classes: dict[str, int] = {}
         self._refresh()
 
     def reserve(self, task, attempt):
         """Commits the declared size of an attempt."""
         resident = Resident(task, attempt)
         self.residents[task.id, attempt] = resident
+        klass = task.job.klass
+        self.classes[klass] = self.classes.get(klass, 0) + 1
         self._add(resident, 1)
 
     def release(self, task_id, attempt):
@@ -63,6 +67,10 @@
         resident = self.residents.pop((task_id, attempt), None)
         if resident is not None:
             self._add(resident, -1)
+            klass = resident.task.job.klass
+            self.classes[klass] -= 1
+            if not self.classes[klass]:
+                del self.classes[klass]
         return resident
 
     def observe(self, usage) -> bool:
@@ -181,6 +189,13 @@
                 if i < 3:
                     self.free[i] += max(0, keys[i])
 
+    def may_fit(self, size) -> bool:
+        """Says whether each resource alone is free on some worker."""
+        return all(
+            entries and entries[-1][0] >= size[i]
+            for i, entries in enumerate(self.lists)
+        )
+
     def could_ever_fit(self, size) -> bool:
         """Says whether an empty worker of this partition would suffice."""
         if not self.capacities:
@@ -212,13 +227,14 @@
     """Returns the names of the best fits, the widest and some others."""
     count = len(entries)
     head = min(count, first + BEST_FIT_CANDIDATES)
-    picks = list(range(first, head))
     tail = max(head, count - WIDEST_CANDIDATES)
-    picks.extend(range(tail, count))
+    names = [name for _, name in entries.islice(first, head)]
+    names.extend(name for _, name in entries.islice(tail, count))
     if tail > head:
-        between = range(head, tail)
-        picks.extend(rng.sample(between, min(len(between), RANDOM_CANDIDATES)))
-    return [entries[i][1] for i in picks]
+        number = min(tail - head, RANDOM_CANDIDATES)
+        picks = rng.sample(range(head, tail), number)
+        names.extend(entries[i][1] for i in picks)
+    return names
 
 
 def choose(state, index, task):
@@ -233,16 +249,19 @@
     best = None
     best_score = 0.0
     rejected = []
+    failures = quarantine.failures_by_worker(state, job.id)
+    spread = job.spec["spread"] == "rack"
     for worker in index.candidates(job.size, state.rng):
         account = index.accounts[worker]
         if not job.size.fits(account.free):
             rejected.append((worker, _short_of(job.size, account.free)))
             continue
-        failures = quarantine.failures(state, job.id, worker)
         score = _fragmentation(job.size, account)
         score += interference.penalty(state, job.klass, account)
-        score += FAILURE_PENALTY * failures
-        if job.spec["spread"] == "rack":
+        if worker in failures:
+            count = min(failures[worker][1], FAILURES_COUNTED)
+            score += FAILURE_PENALTY * count
+        if spread:
             score += RACK_PENALTY * index.racks[job.id, account.rack]
         if best is None or score < best_score:
             if best is not None:
--- a/packages/core/src/skylarklug/interference.py
+++ b/packages/core/src/skylarklug/interference.py
@@ -21,8 +21,8 @@
 EVICTION_COST = 0.5
 SMOOTHING = 0.5
 SHARES = (1.0, 0.6, 0.3)
-PENALTY_SLOPE = 0.3
-PENALTY_BEYOND = 2.0
+PENALTY_SLOPE = 4.0
+PENALTY_BEYOND = 4.0
 MOVE_GAIN = 0.1
 MIN_EXCESS = 0.02
 DEFAULT_WEIGHTS = {"latency": 0.5, "throughput": 0.3, "evictions": 0.2}
@@ -59,13 +59,12 @@
 class Site:
     """Residency log and control state of one worker."""
 
-    __slots__ = ("stays", "inflation", "acted_at", "excess")
+    __slots__ = ("stays", "inflation", "acted_at")
 
     def __init__(self):
         self.stays = collections.deque()
         self.inflation: dict[str, float] = {}
         self.acted_at = 0
-        self.excess = 0.0
 
 
 class InterferenceState:
@@ -76,6 +75,7 @@
         self.pairs: dict[tuple[str, str], Mean] = {}
         self.classes: dict[str, Mean] = {}
         self.sites: dict[str, Site] = {}
+        self.cache: dict[tuple[str, tuple], float] = {}
         self.weights = DEFAULT_WEIGHTS
 
 
@@ -109,16 +109,24 @@
     mine = state.domains["interference"]
     if not mine.classes or not enabled(state):
         return 0.0
-    added = _class_excess(state, klass, account.worker)
+    services = _services(state, account.worker)
+    added = _class_excess(state, klass, services)
     if added < MIN_EXCESS:
         return 0.0
-    site = mine.sites.get(account.worker)
-    total = added + (site.excess if site else 0.0)
+    total = added + expected(state, account, services)
     beyond = max(0.0, total - (ACT_ABOVE - 1))
     cost = PENALTY_SLOPE * total + PENALTY_BEYOND * beyond
     return mine.weights["latency"] * cost
 
 
+def expected(state, account, services) -> float:
+    """Sums the expected excess inflation by all reservations."""
+    return sum(
+        count * _class_excess(state, klass, services)
+        for klass, count in account.classes.items()
+    )
+
+
 def enabled(state) -> bool:
     """Says whether the settings leave interference control on."""
     return state.settings.get("interference", True)
@@ -131,22 +139,15 @@
     return vm.services if vm is not None else ()
 
 
-def _class_excess(state, klass, worker):
-    return sum(
-        max(0.0, estimate(state, klass, service) - 1)
-        for service in _services(state, worker)
-    )
-
-
-def _refresh(state, worker, site):
-    """Sums the expected excess inflation of what runs on the worker."""
-    counts = collections.Counter(
-        stay.klass for stay in site.stays if stay.end is None
-    )
-    site.excess = sum(
-        count * _class_excess(state, klass, worker)
-        for klass, count in counts.items()
-    )
+def _class_excess(state, klass, services):
+    cache = state.domains["interference"].cache
+    found = cache.get((klass, services))
+    if found is None:
+        found = cache[klass, services] = sum(
+            max(0.0, estimate(state, klass, service) - 1)
+            for service in services
+        )
+    return found
 
 
 # ---------------------------------------------------------------- residency
@@ -157,8 +158,6 @@
     mine = state.domains["interference"]
     site = mine.sites.setdefault(worker, Site())
     site.stays.append(Stay(task, state.now))
-    if mine.classes:
-        site.excess += _class_excess(state, task.job.klass, worker)
 
 
 def departed(state, worker, task_id):
@@ -170,8 +169,6 @@
     for stay in reversed(site.stays):
         if stay.task.id == task_id and stay.end is None:
             stay.end = state.now
-            lost = _class_excess(state, stay.klass, worker)
-            site.excess = max(0.0, site.excess - lost)
             break
     _forget(site, state.now)
 
@@ -222,7 +219,7 @@
         _learn(state, mine, service, shares, inflation)
         old = site.inflation.get(service, inflation)
         site.inflation[service] = old + SMOOTHING * (inflation - old)
-    _refresh(state, worker, site)
+    mine.cache.clear()
     if enabled(state):
         _control(state, effects, mine, worker, site)
 
@@ -340,7 +337,7 @@
 
 
 def _acted(state, site):
-    """Judges the worker only by windows that begin after this action."""
+    """Uses only windows that begin after this action from now on."""
     site.acted_at = state.now
     site.inflation.clear()
 
@@ -361,10 +358,12 @@
     target, _ = index.choose(state, part.index, task)
     how = "evict"
     if target is not None and target.worker != worker:
-        other = mine.sites.get(target.worker)
-        there = _class_excess(state, task.job.klass, target.worker)
-        there += other.excess if other else 0.0
-        if there + MOVE_GAIN < site.excess:
+        services = _services(state, target.worker)
+        there = expected(state, target, services)
+        there += _class_excess(state, task.job.klass, services)
+        account = state.domains["placement"].accounts[worker]
+        here = expected(state, account, _services(state, worker))
+        if there + MOVE_GAIN < here:
             how = "move"
     if how == "evict" and inflation < EVICT_ABOVE:
         return
--- a/packages/core/src/skylarklug/placement.py
+++ b/packages/core/src/skylarklug/placement.py
@@ -228,7 +228,9 @@
     from skylarklug import quota
 
     teams = part.queue.levels[level]
-    heap = [(quota.share(state, name, team), team) for team in teams]
+    if _all_blocked(part, level):
+        return 0
+    heap = quota.shares(state, name, teams)
     heapq.heapify(heap)
     placed = 0
     while heap and placed < budget:
@@ -236,10 +238,19 @@
         if _place_team(state, effects, name, part, teams, team, level):
             placed += 1
             if team in teams:
-                heapq.heappush(heap, (quota.share(state, name, team), team))
+                heapq.heappush(heap, quota.shares(state, name, (team,))[0])
+        elif _all_blocked(part, level):
+            break
     return placed
 
 
+def _all_blocked(part, level):
+    """Says whether no size of the level fits until capacity is freed."""
+    return all(
+        (level, size) in part.blocked for size in part.queue.sizes[level]
+    )
+
+
 def _place_team(state, effects, name, part, teams, team, level):
     """Places one task of the team; says whether it could."""
     from skylarklug import quarantine
@@ -276,7 +287,9 @@
         _unrunnable(state, effects, name, part, job)
         return False
     job.unrunnable = ""
-    chosen, rejected = index.choose(state, part.index, task)
+    chosen, rejected = None, ()
+    if part.index.may_fit(job.size):
+        chosen, rejected = index.choose(state, part.index, task)
     if chosen is not None:
         commit(state, effects, chosen, task, "best-fit", rejected)
         return True
--- a/packages/core/src/skylarklug/preemption.py
+++ b/packages/core/src/skylarklug/preemption.py
@@ -1,8 +1,9 @@
 """Capacity for urgent tasks and for tasks that have waited long.
 
 A claim takes a worker out of the index until its task fits. An urgent claim
-stops victims at once; a patient claim waits for tasks that end by themselves,
-so that a stream of small tasks cannot starve a large one.
+stops victims at once. The claim of a task that has waited long waits for
+tasks that end by themselves, so that a stream of small tasks cannot starve a
+large one.
 """
 
 import collections
@@ -18,8 +19,9 @@
 # A stop takes at most 2 s and is seen at the next poll of the worker; an
 # urgent task must start within 5.3 s, which leaves time for a second worker.
 URGENT_CLAIM_MS = 2_600
-PATIENT_AFTER_MS = 60_000
-PATIENT_CLAIM_MS = 600_000
+SILENT_MS = 500
+AGED_AFTER_MS = 60_000
+AGED_CLAIM_MS = 600_000
 NEVER_MS = 1 << 50
 
 
@@ -81,8 +83,8 @@
     if task.job.priority == index.URGENT:
         return _claim_urgent(state, effects, part, task)
     waited = state.now - part.waiting.get(task.job.id, state.now)
-    if waited >= PATIENT_AFTER_MS:
-        _claim_patient(state, effects, name, part, task)
+    if waited >= AGED_AFTER_MS:
+        _claim_aged(state, effects, name, part, task)
     return False
 
 
@@ -197,10 +199,10 @@
     return lost * cores, task.job.priority, task.evictions
 
 
-# ------------------------------------------------------------------ patient
+# ---------------------------------------------------------------------- aged
 
 
-def _claim_patient(state, effects, name, part, task):
+def _claim_aged(state, effects, name, part, task):
     """Keeps the worker that is free soonest for a task that waits long."""
     claims = state.domains["placement"].claims
     for account in claims.values():
@@ -213,7 +215,7 @@
             best = (at, account)
     if best is None:
         return
-    until = state.now + PATIENT_CLAIM_MS
+    until = state.now + AGED_CLAIM_MS
     _take(state, best[1], Claim(task, False, until))
     tasks.log(
         effects, "claim", task=task.id, worker=best[1].worker,
@@ -285,9 +287,13 @@
 
 def expire(state, effects):
     """Ends claims that took too long or whose worker is not usable."""
+    from skylarklug import placement
+
     mine = state.domains["placement"]
     for account in list(mine.claims.values()):
         waiting = account.claim
+        if waiting.urgent and _is_silent(state, account.worker):
+            placement.exclude(state, account.worker, "unreachable")
         if state.now < waiting.until and not account.excluded:
             freed(state, effects, account)
             continue
@@ -297,3 +303,17 @@
         if waiting.urgent:
             reason = f"claim on {account.worker} ended"
             attempts.requeue(state, effects, waiting.task, reason)
+
+
+def _is_silent(state, worker):
+    """Says whether the worker has not answered the stop of the victims.
+
+    Waiting for the timeout of the exchange would leave too little time for
+    a second worker. The next answer makes the worker usable again.
+    """
+    from skylarklug import lease
+
+    record = lease.worker_of(state, worker)
+    if record is None or not record.in_flight:
+        return False
+    return state.now - record.sent_at > SILENT_MS
--- a/packages/core/src/skylarklug/quarantine.py
+++ b/packages/core/src/skylarklug/quarantine.py
@@ -16,7 +16,6 @@
 WORKER_CAP = 0.2
 FIRST_PROBE_MS = 30_000
 LAST_PROBE_MS = 1_800_000
-PENALTY_CAP = 5
 
 
 class Quarantine:
@@ -53,10 +52,9 @@
     return QuarantineState()
 
 
-def failures(state, job_id, worker) -> int:
-    """Returns the number of recent failures of the job on the worker."""
-    cell = state.domains["quarantine"].by_job.get(job_id, {}).get(worker)
-    return min(cell[1], PENALTY_CAP) if cell else 0
+def failures_by_worker(state, job_id) -> dict:
+    """Returns [successes, failures] of the job for each worker."""
+    return state.domains["quarantine"].by_job.get(job_id, {})
 
 
 def blocks(state, job_id) -> bool:
@@ -107,10 +105,10 @@
         # This success may be the evidence against workers where it failed.
         for name, other in mine.by_job.get(job_id, {}).items():
             if other[1] and not other[0]:
-                _judge_worker(state, effects, mine, partition, name)
+                _check_worker(state, effects, mine, partition, name)
         return
-    _judge_worker(state, effects, mine, partition, worker)
-    _judge_job(state, effects, mine, partition, job_id)
+    _check_worker(state, effects, mine, partition, worker)
+    _check_job(state, effects, mine, partition, job_id)
 
 
 def _forget(mine, before):
@@ -129,10 +127,10 @@
         del matrix[row]
 
 
-def _judge_worker(state, effects, mine, partition, worker):
+def _check_worker(state, effects, mine, partition, worker):
     if worker in mine.workers:
         return
-    guilty = [
+    failing = [
         job_id
         for job_id, cell in sorted(mine.by_worker.get(worker, {}).items())
         if cell[1]
@@ -143,21 +141,21 @@
             if name != worker
         )
     ]
-    if len(guilty) < EVIDENCE:
+    if len(failing) < EVIDENCE:
         return
     from skylarklug import placement
 
     count = sum(q.partition == partition for q in mine.workers.values())
     if count + 1 > WORKER_CAP * len(placement.workers_of(state, partition)):
         return
-    names = ",".join(guilty[:EVIDENCE])
+    names = ",".join(failing[:EVIDENCE])
     entry = mine.workers[worker] = Quarantine(partition)
     entry.reason = f"jobs {names} fail here and succeed elsewhere"
     placement.exclude(state, worker, "quarantine")
     _announce(state, effects, mine, "worker", worker, entry)
 
 
-def _judge_job(state, effects, mine, partition, job_id):
+def _check_job(state, effects, mine, partition, job_id):
     if job_id in mine.jobs:
         return
     cells = mine.by_job[job_id]
--- a/packages/core/src/skylarklug/queues.py
+++ b/packages/core/src/skylarklug/queues.py
@@ -16,6 +16,7 @@
     def __init__(self):
         self.levels = [{} for _ in range(LEVELS)]
         self.queued: dict[str, int] = {}
+        self.sizes = [collections.Counter() for _ in range(LEVELS)]
 
     def add(self, job, level, front=False):
         """Queues a job once; `front` puts it first among its size."""
@@ -26,6 +27,7 @@
             level = max(level, at)
             self.remove(job)
         self.queued[job.id] = level
+        self.sizes[level][job.size] += 1
         sizes = self.levels[level].setdefault(job.team, {})
         jobs = sizes.setdefault(job.size, collections.deque())
         if front:
@@ -38,6 +40,10 @@
         level = self.queued.pop(job.id, None)
         if level is None:
             return
+        counts = self.sizes[level]
+        counts[job.size] -= 1
+        if not counts[job.size]:
+            del counts[job.size]
         sizes = self.levels[level][job.team]
         for size, jobs in list(sizes.items()):
             if job in jobs:
--- a/packages/core/src/skylarklug/quota.py
+++ b/packages/core/src/skylarklug/quota.py
@@ -76,19 +76,27 @@
     return tuple(teams.get(team, NOTHING))
 
 
-def share(state, partition, team) -> float:
-    """Returns the weighted share of the partition that the team uses.
+def shares(state, partition, teams) -> list:
+    """Returns (weighted share of the partition, team) for each team.
 
-    It is the dominant share of Ghodsi et al., "Dominant Resource Fairness"
-    (NSDI 2011), divided by the team's weight.
+    The share is the dominant share of Ghodsi et al., "Dominant Resource
+    Fairness" (NSDI 2011), divided by the team's weight.
     """
     from skylarklug import placement
 
     mine = state.domains["quota"]
-    totals = placement.totals(state, partition)
-    amounts = used(state, partition, team)
-    largest = max(amounts[i] / max(1, totals[i]) for i in range(3))
-    return largest / mine.weights.get(team, 1.0)
+    cpus, memory, accelerators = placement.totals(state, partition)
+    charged = mine.used.get(partition, {})
+    result = []
+    for team in teams:
+        amounts = charged.get(team, NOTHING)
+        largest = amounts[0] / (cpus or 1)
+        if amounts[1] > largest * memory:
+            largest = amounts[1] / (memory or 1)
+        if amounts[2] > largest * accelerators:
+            largest = amounts[2] / (accelerators or 1)
+        result.append((largest / mine.weights.get(team, 1.0), team))
+    return result
 
 
 def admits(state, effects, partition, team, size) -> bool:
--- a/tests/core/test_interference.py
+++ b/tests/core/test_interference.py
@@ -152,7 +152,7 @@
         assert shares(world)["n.k/0"] == 1.0
 
     def test_moves_when_throttling_does_not_help(self, world):
-        """Guards against a service that stays slow beside a hog."""
+        """Guards against a service that stays slow beside a demanding task."""
         attach(world, {"n": 4.0})
         submit(world, "n", tasks=2, size={"cpus": 1, "memory_mb": 1})
         world.run(200_000)
--- a/tests/core/test_lease.py
+++ b/tests/core/test_lease.py
@@ -251,7 +251,7 @@
         assert not world.violations
 
     def test_acknowledges_after_the_commit(self, sim):
-        """Guards against a result that nobody keeps."""
+        """Guards against a finished result that is lost."""
         world = sim()
         worker = started(world, run_time_ms=8_000)
         world.table_down = True
@@ -294,7 +294,7 @@
         assert not other.tasks
 
     def test_sync_dropped_at_its_deadline_is_repeated(self, sim):
-        """Guards against commands that vanish in a busy process."""
+        """Guards against commands lost when the process is late."""
         world = sim()
         node = world.nodes[0]
         record = lease.worker_of(node.state, "w00")
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -83,7 +83,7 @@
         assert len(racks) == 3
 
     def test_log_names_rejected_candidates(self, sim):
-        """Guards against decisions that nobody can explain."""
+        """Guards against decisions without a stated reason."""
         world = sim()
         world.submit(world.nodes[0], "k", run_time_ms=HOUR_MS)
         world.run(1_000)
@@ -140,7 +140,7 @@
         assert name in on_workers(world)
 
     def test_leaving_worker_is_emptied(self, sim):
-        """Guards against work on a VM that is about to vanish."""
+        """Guards against work on a VM that is about to be terminated."""
         world = sim()
         world.submit(world.nodes[0], "k", tasks=4, run_time_ms=HOUR_MS)
         world.run(5_000)
--- a/tests/core/test_preemption.py
+++ b/tests/core/test_preemption.py
@@ -1,4 +1,4 @@
-"""Tests of urgent claims, eviction budgets and patient claims."""
+"""Tests of urgent claims, eviction budgets and claims after a long wait."""
 
 from skylarklug import preemption
 
@@ -80,7 +80,7 @@
 
 class TestBudgets:
     def test_job_and_partition(self, sim):
-        """Guards against one job that pays for all the others."""
+        """Guards against evictions that all hit one job."""
         world = sim(workers=2)
         fill(world)
         node = world.nodes[0]
@@ -113,7 +113,7 @@
         assert budget.allowed(Task, preemption.PARTITION_WINDOW_MS)
 
 
-class TestPatience:
+class TestAgedClaim:
     def test_large_task_is_not_starved(self, sim):
         """Guards against a stream of small tasks that hides a large one."""
         world = sim(workers=2)
@@ -126,7 +126,7 @@
         world.run(5_000)
         big = {"cpus": 16, "memory_mb": 10}
         world.submit(world.nodes[0], "big", size=big, run_time_ms=1_000)
-        world.run(preemption.PATIENT_AFTER_MS + 40_000)
+        world.run(preemption.AGED_AFTER_MS + 40_000)
         assert world.states().get("a.big/0") == "finished"
         left = [s for s in world.states().values() if s == "finished"]
         assert len(left) < 480
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -21,7 +21,7 @@
     return effects
 
 
-def blame(world, worker, jobs=3):
+def fail_on(world, worker, jobs=3):
     """Makes several jobs fail on a worker and succeed on another."""
     for i in range(jobs):
         record(world, f"j{worker}{i}", worker, False)
@@ -35,15 +35,15 @@
 class TestWorker:
     def test_three_jobs_that_succeed_elsewhere(self, world):
         """Guards against a worker that fails everything it starts."""
-        blame(world, "w00", 2)
+        fail_on(world, "w00", 2)
         assert "quarantine" not in account(world, "w00").excluded
-        blame(world, "w00")
+        fail_on(world, "w00")
         assert "quarantine" in account(world, "w00").excluded
         why = quarantine.reason(world.nodes[0].state, "worker", "w00")
         assert "succeed elsewhere" in why
 
     def test_jobs_that_fail_everywhere_prove_nothing(self, world):
-        """Guards against workers that pay for broken jobs."""
+        """Guards against workers in quarantine because of broken jobs."""
         for i in range(5):
             for worker in ("w00", "w01", "w02", "w03"):
                 record(world, f"bad{i}", worker, False)
@@ -52,7 +52,7 @@
     def test_at_most_a_fifth_of_the_partition(self, world):
         """Guards against a fault elsewhere that empties the fleet."""
         for worker in ("w00", "w01", "w02", "w03"):
-            blame(world, worker)
+            fail_on(world, worker)
         held = [
             a.worker
             for a in world.nodes[0].state.domains["placement"].accounts.values()
@@ -62,7 +62,7 @@
 
     def test_probe_lets_one_task_through(self, world):
         """Guards against a full load on a worker that is still broken."""
-        blame(world, "w00")
+        fail_on(world, "w00")
         world.run(quarantine.FIRST_PROBE_MS + 100)
         assert "quarantine" not in account(world, "w00").excluded
         state = world.nodes[0].state
@@ -74,7 +74,7 @@
 
     def test_good_probe_ends_it(self, world):
         """Guards against a repaired worker that stays out."""
-        blame(world, "w00")
+        fail_on(world, "w00")
         world.run(quarantine.FIRST_PROBE_MS + 100)
         quarantine.started(world.nodes[0].state, "any", "w00")
         record(world, "any", "w00", True)
@@ -84,7 +84,7 @@
 
     def test_probe_without_an_outcome_is_repeated(self, world):
         """Guards against a worker lost when its probe is evicted."""
-        blame(world, "w00")
+        fail_on(world, "w00")
         world.run(quarantine.FIRST_PROBE_MS + 100)
         quarantine.started(world.nodes[0].state, "any", "w00")
         world.run(quarantine.FIRST_PROBE_MS + 100)
