--- a/packages/core/src/skylarklug/placement.py
+++ b/packages/core/src/skylarklug/placement.py
@@ -184,17 +184,6 @@
         enqueue(state, job)
 
 
-def may_start(state, effects, task) -> bool:
-    """Says whether quota and quarantine allow a start of the task."""
-    from skylarklug import quarantine
-    from skylarklug import quota
-
-    job = task.job
-    if job.cancelled or quarantine.blocks(state, job.id):
-        return False
-    return quota.admits(state, effects, job.partition, job.team, job.size)
-
-
 def enqueue(state, job, front=False):
     """Queues a job that has pending tasks."""
     mine = state.domains["placement"]
--- a/packages/core/src/skylarklug/preemption.py
+++ b/packages/core/src/skylarklug/preemption.py
@@ -275,7 +275,7 @@
         _drop(state, account)
         following = attempts.next_pending(task.job)
         if following is not None and not account.excluded:
-            if placement.may_start(state, effects, following):
+            if _may_start(state, effects, following):
                 placement.commit(state, effects, account, following, "claim")
         return
     if not waiting.durable:
@@ -285,6 +285,17 @@
     lease.start(state, effects, account.worker, task)
 
 
+def _may_start(state, effects, task) -> bool:
+    """Says whether quota and quarantine allow a start of the task."""
+    from skylarklug import quarantine
+    from skylarklug import quota
+
+    job = task.job
+    if job.cancelled or quarantine.blocks(state, job.id):
+        return False
+    return quota.admits(state, effects, job.partition, job.team, job.size)
+
+
 def expire(state, effects):
     """Ends claims that took too long or whose worker is not usable."""
     from skylarklug import placement
