--- a/packages/core/src/skylarklug/attempts.py
+++ b/packages/core/src/skylarklug/attempts.py
@@ -67,7 +67,8 @@
     """Makes the end of the current attempt durable.
 
     `report` is the worker's `WorkerTask` with state "finished", "failed" or
-    "stopped". `acknowledge(state, effects)` is called after the commit.
+    "stopped". `acknowledge(state, effects, accepted)` is called after the
+    commit; `accepted` is false when another end is the durable one.
     """
     from skylarklug import quarantine
 
@@ -104,7 +105,7 @@
             return
         task.version, task.row_state = result.version, to
         task.settling = False
-        acknowledge(state, effects)
+        acknowledge(state, effects, True)
         _ended(state, effects, task, to, reason)
 
     _commit(state, effects, task, _task_row(state, task, to, reason), done)
@@ -127,7 +128,8 @@
                 _write_end(state, effects, task, to, reason, acknowledge)
                 return
         task.settling = False
-        acknowledge(state, effects)
+        own = row is not None and row.value["attempt"] == task.attempt
+        acknowledge(state, effects, own and row.value["state"] == to)
         if row is None:
             return
         if superseded and task.state in tasks.LIVE:
--- a/packages/core/src/skylarklug/jobs.py
+++ b/packages/core/src/skylarklug/jobs.py
@@ -176,6 +176,7 @@
 
 
 def _read(state, effects, part):
+    from skylarklug import snapshot
     from skylarklug import table
 
     if part.reading:
@@ -183,23 +184,25 @@
         return
     part.reading = True
     part.next_poll = state.now + POLL_MS
-    prefixes = [f"job/{part.name}/"]
-    if not part.loaded:
-        prefixes.append(f"task/{part.name}/")
 
-    def done(state, effects, result):
+    def take(state, effects, found):
         if state.domains["jobs"].partitions.get(part.name) is not part:
             return
         part.reading = False
-        if result.status == "read":
-            _take_rows(state, effects, part, result)
+        if found is not None:
+            _take_rows(state, effects, part, found)
         if part.read_again or not part.loaded:
             part.read_again = False
             _read(state, effects, part)
 
-    table.read(
-        state, effects, (), tuple(prefixes), done, after_version=part.version
-    )
+    def done(state, effects, result):
+        take(state, effects, result if result.status == "read" else None)
+
+    if not part.loaded:
+        snapshot.load(state, effects, part.name, take)
+        return
+    prefixes = (f"job/{part.name}/",)
+    table.read(state, effects, (), prefixes, done, after_version=part.version)
 
 
 def _take_rows(state, effects, part, result):
--- a/packages/core/src/skylarklug/placement.py
+++ b/packages/core/src/skylarklug/placement.py
@@ -16,6 +16,7 @@
 SHAPES_PER_TEAM = 8
 AGING_MS = 300_000
 LOAD_MAX_AGE_MS = 10_000
+LOAD_INTERVAL_MS = 2_000
 LOG_REPEAT_MS = 10_000
 MOVES_PER_TICK = 4
 
@@ -45,6 +46,7 @@
         self.claims = {}
         self.evictions = preemption.Evictions()
         self.drained = frozenset()
+        self.next_load = 0
 
 
 def new_state() -> PlacementState:
@@ -374,6 +376,19 @@
     return {name: part.index.room() for name, part in parts.items()}
 
 
+def _advertise(state, effects):
+    """Tells the linked nodes how much room the owned partitions have."""
+    from skylarklug import membership
+
+    mine = state.domains["placement"]
+    if state.now < mine.next_load:
+        return
+    mine.next_load = state.now + LOAD_INTERVAL_MS
+    fields = {"partitions": free_capacity(state)}
+    for node in membership.linked(state):
+        membership.send(state, effects, node, "load", fields)
+
+
 def advertised(state, partition):
     """Returns the free capacity last advertised for a partition, or None."""
     mine = state.domains["placement"]
@@ -439,6 +454,7 @@
 
     if ownership.mode(state) != "held":
         return
+    _advertise(state, effects)
     _move_residents(state, effects)
     preemption.expire(state, effects)
     _age(state)
--- a/packages/core/src/skylarklug/residents.py
+++ b/packages/core/src/skylarklug/residents.py
@@ -77,7 +77,7 @@
 
     __slots__ = (
         "task", "attempt", "phase", "stopping", "sent_until", "stop_sent",
-        "reason",
+        "reason", "accepted",
     )  # fmt: skip
 
     def __init__(self, task, attempt, phase):
@@ -88,6 +88,8 @@
         self.sent_until = 0
         self.stop_sent = 0
         self.reason = ""
+        # False when the durable end is not the one that the worker reported.
+        self.accepted = True
 
 
 def _command(worker, op, key, fields=None):
@@ -187,7 +189,8 @@
     if resident is not None and state.now < resident.sent_until:
         lease.later(state, resident.sent_until, "ack", worker, key)
         return
-    _command(worker, "ack", key)
+    accepted = resident is None or resident.accepted
+    _command(worker, "ack", key, None if accepted else {"accepted": False})
     lease.flush(state, effects, worker)
 
 
@@ -210,9 +213,12 @@
         every = resident.task.job.spec["checkpoint_ms"]
         lease.later(state, state.now + every, "checkpoint", worker, key)
         if not resident.stopping:
-            # Goes out with the next renewal; a checkpoint is not urgent.
             attempts.checkpointing(state, effects, resident.task)
             _command(worker, "checkpoint", key)
+            # The next renewal carries it, unless more than one checkpoint
+            # would be due until then.
+            if every < lease.renewal_ms(state):
+                lease.flush(state, effects, worker)
 
 
 # ---------------------------------------------------------------- exchanges
@@ -351,6 +357,7 @@
             resident = Resident(task, key[1], ENDED)
             worker.residents[key] = resident
         resident.phase = ENDED
+        resident.accepted = False
         if ("ack", *key) not in worker.outbox:
             _acknowledge(state, effects, worker, key)
         return
@@ -360,7 +367,8 @@
         resident = worker.residents[key] = Resident(task, key[1], ENDED)
     resident.phase = ENDED
 
-    def acknowledge(state, effects):
+    def acknowledge(state, effects, accepted=True):
+        resident.accepted = accepted
         _acknowledge(state, effects, worker, key)
 
     attempts.settle(state, effects, task, item, acknowledge)
--- a/tests/core/batch_fakes.py
+++ b/tests/core/batch_fakes.py
@@ -52,6 +52,19 @@
     return effects
 
 
+def _load(state, effects, partition, done):
+    """Reads all rows of a partition until the table answers."""
+    prefixes = (f"job/{partition}/", f"task/{partition}/")
+
+    def answered(state, effects, result):
+        if result.status == "read":
+            done(state, effects, result)
+        else:
+            _load(state, effects, partition, done)
+
+    state.domains["fake"].read((), prefixes, answered)
+
+
 def install(monkeypatch):
     """Makes the fakes visible as modules of skylarklug."""
 
@@ -67,6 +80,8 @@
                 *args, **kw
             ),
         ),
+        "snapshot": types.SimpleNamespace(load=_load),
+        "membership": types.SimpleNamespace(linked=lambda state: ()),
         "ownership": types.SimpleNamespace(
             mode=lambda state: fake(state).mode,
             epoch_of=lambda state, p: fake(state).epoch,
