Call the ownership module directly

Cause: request modules reached ownership through a guard for the time when it did not exist; the routing benchmark then ran with suspended lenders.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -10,8 +10,8 @@
 import tabulate
 from tests.core import fakes
 
-from skylarklug import contracts
 from skylarklug import events
+from skylarklug import ownership
 
 SEEDS = (11, 12, 13)
 WORKERS = 24
@@ -89,8 +89,9 @@
 def build(seed, **kwargs):
     """Returns a simulation with partition owners."""
     sim = fakes.Sim(seed, nodes=NODES, count=WORKERS, **kwargs)
-    contracts.owner_of = sim.owner_of
-    contracts.epoch_of = sim.epoch_of
+    ownership.owner_of = sim.owner_of
+    ownership.epoch_of = sim.epoch_of
+    ownership.mode = lambda state: "held"
     return sim
 
 
@@ -264,8 +265,9 @@
         sim = fakes.Sim(
             7, nodes=nodes, count=count, settings={"partitions": partitions}
         )
-        contracts.owner_of = sim.owner_of
-        contracts.epoch_of = sim.epoch_of
+        ownership.owner_of = sim.owner_of
+        ownership.epoch_of = sim.epoch_of
+        ownership.mode = lambda state: "held"
         add_other_workers(sim, others)
         spent = collections.Counter()
         seen = collections.Counter()
--- a/packages/core/src/skylarklug/limits.py
+++ b/packages/core/src/skylarklug/limits.py
@@ -4,10 +4,10 @@
 acknowledged sequence number supersedes everything that was sent before it.
 """
 
-from skylarklug import contracts
 from skylarklug import effects as fx
 from skylarklug import events
 from skylarklug import lending
+from skylarklug import ownership
 from skylarklug import slotlists
 from skylarklug import workers
 
@@ -222,7 +222,7 @@
     for slots in domain.slots.values():
         slots.granted = 0
     for partition in sorted(domain.partitions):
-        owner = contracts.owner_of(state, partition)
+        owner = ownership.owner_of(state, partition)
         if not owner or owner == state.node:
             continue
         body = _report(state, partition, "slots-return")
@@ -236,7 +236,7 @@
         return
     domain.last_want = state.now
     for partition in sorted(domain.partitions):
-        owner = contracts.owner_of(state, partition)
+        owner = ownership.owner_of(state, partition)
         if not owner:
             continue
         body = _report(state, partition, "slots-want")
@@ -317,13 +317,13 @@
 
 def _book(state, partition):
     """Returns the book when this node may lend now, else None."""
-    epoch = contracts.epoch_of(state, partition)
+    epoch = ownership.epoch_of(state, partition)
     book = _domain(state).lenders.get(partition)
     if partition not in _domain(state).partitions:
         return None
     if not epoch or book is None or state.now < book.lends_from:
         return None
-    if contracts.mode(state) == "suspended":
+    if ownership.mode(state) == "suspended":
         return None
     book.epoch = epoch
     return book
--- a/packages/core/src/skylarklug/stopping.py
+++ b/packages/core/src/skylarklug/stopping.py
@@ -4,10 +4,10 @@
 that the node is not ready; `stop.drain_ms` bounds the wait for requests.
 """
 
-from skylarklug import contracts
 from skylarklug import effects as fx
 from skylarklug import events
 from skylarklug import limits
+from skylarklug import ownership
 from skylarklug import requests
 
 NOTICE_MS = 5_000
@@ -86,7 +86,7 @@
         if _domain(state).phase == "hand-over":
             _exit(state, effects, "stopped")
 
-    contracts.release_all(state, effects, done)
+    ownership.release_all(state, effects, done)
 
 
 def _exit(state, effects, reason):
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -5,9 +5,9 @@
 import itertools
 import random
 
-from skylarklug import contracts
 from skylarklug import effects as fx
 from skylarklug import events
+from skylarklug import ownership
 from skylarklug import reducer
 
 SERVICE = "certvault"
@@ -71,9 +71,9 @@
 
     def patch(self, monkeypatch):
         """Answers ownership questions from `owners`."""
-        monkeypatch.setattr(contracts, "owner_of", self.owner_of)
-        monkeypatch.setattr(contracts, "epoch_of", self.epoch_of)
-        monkeypatch.setattr(contracts, "mode", lambda state: "held")
+        monkeypatch.setattr(ownership, "owner_of", self.owner_of)
+        monkeypatch.setattr(ownership, "epoch_of", self.epoch_of)
+        monkeypatch.setattr(ownership, "mode", lambda state: "held")
 
     def owner_of(self, state, partition):
         return self.owners.get(partition, ("", 0))[0]
--- a/tests/core/test_request_faults.py
+++ b/tests/core/test_request_faults.py
@@ -8,11 +8,11 @@
 import pytest
 from tests.core import fakes
 
-from skylarklug import contracts
 from skylarklug import effects as fx
 from skylarklug import events
 from skylarklug import lending
 from skylarklug import limits
+from skylarklug import ownership
 
 SCHEDULES = 200
 REQUESTS = 150
@@ -206,14 +206,14 @@
 
     def __init__(self):
         super().__init__()
-        self.before = contracts.owner_of, contracts.epoch_of
+        self.before = ownership.owner_of, ownership.epoch_of
         self.sim = fakes.Sim(5, nodes=3, count=3)
-        contracts.owner_of = self.sim.owner_of
-        contracts.epoch_of = self.sim.epoch_of
+        ownership.owner_of = self.sim.owner_of
+        ownership.epoch_of = self.sim.epoch_of
         self.sim.run(3000)
 
     def teardown(self):
-        contracts.owner_of, contracts.epoch_of = self.before
+        ownership.owner_of, ownership.epoch_of = self.before
 
     @stateful.rule(node=nodes, amount=st.integers(1, 20))
     def use(self, node, amount):
