Test pauses, table outages and bad settings across processes

Cause: a node suspended beyond its lease, an outage during work and the exit status of the binary can only be tested with separate processes.

Change: tests with SIGSTOP and SIGCONT of the partition's owner, with a table outage while tasks run, and with a settings file that has seven problems. The launcher joins standard error to standard output.

Conclusion: after a take-over the workers accept no older epoch and every task finishes once; finishes held in an outage become durable once.

--- a/packages/standins/src/skylarklug_standins/processes.py
+++ b/packages/standins/src/skylarklug_standins/processes.py
@@ -60,7 +60,7 @@
         [sys.executable, "-m", NODE_MODULE, "--settings", str(settings_file)],
         stdin=subprocess.DEVNULL,
         stdout=output,
-        stderr=output,
+        stderr=subprocess.STDOUT,
         env=os.environ | {"PYTHONPATH": path},
     )
 
--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -4,7 +4,9 @@
 import json
 import pathlib
 import signal
+import subprocess
 import time
+from typing import NamedTuple
 
 from tests.standins import support
 from tornado import httpclient
@@ -31,6 +33,14 @@
     return cfg | {"stop": {"notice_ms": 1_500, "drain_ms": 20_000}}
 
 
+class Sync(NamedTuple):
+    """A sync that a worker answered."""
+
+    worker: str
+    message: dict
+    status: str
+
+
 async def until(holds, what):
     deadline = time.monotonic() + WAIT_S
     while not holds():
@@ -63,9 +73,7 @@
 
         async def recorded(message):
             response = await sync(message)
-            self.syncs.append(
-                (worker.vm, message["node"], message["epoch"], response)
-            )
+            self.syncs.append(Sync(worker.vm, message, response["status"]))
             return response
 
         worker.agent.sync = recorded
@@ -141,13 +149,13 @@
             if token.startswith(f"{node}.")
         }
 
-    async def submit(self, node, key, tasks, run_time_ms):
+    async def submit(self, node, key, tasks, run_time_ms, cpus=1.0):
         """Submits a batch job; returns the names of its tasks."""
         spec = {
             "team": "sealing",
             "kind": "batch",
             "tasks": tasks,
-            "size": {"cpus": 1.0, "memory_mb": 1000},
+            "size": {"cpus": cpus, "memory_mb": 1000},
             "run_time_ms": run_time_ms,
             "data_centre": "yumbo",
             "payload": {"units": 10},
@@ -166,7 +174,11 @@
         return [f"sealing.{key}/{index}" for index in range(tasks)]
 
     def running(self, tasks):
-        return all(self.ledger.record(t).open_interval() for t in tasks)
+        """Returns how many of the tasks execute now."""
+        return sum(
+            self.ledger.record(task).open_interval() is not None
+            for task in tasks
+        )
 
     async def finished(self, tasks):
         """Waits for durable finishes; checks that each happened once."""
@@ -301,3 +313,118 @@
         )
         # A lease that had expired would have been fenced by the new owner.
         assert system.row(f"node/{victim}").get("state") == "released"
+
+
+class TestPause:
+    @on_processes(**SHORT_LEASES)
+    async def test_owner_paused_beyond_its_lease_acts_no_more(self, system):
+        """Guards against a resumed owner that still acts for a partition."""
+        victim = system.owner()
+        epoch = system.epoch()
+        # 4 workers of 16 cpus hold the first 8 tasks; the others wait for an
+        # owner that places them.
+        other = system.others(victim)[0]
+        first = await system.submit(other, "first", 8, 8_000, cpus=8.0)
+        await until(lambda: system.running(first) == 8, "tasks run")
+        queued = await system.submit(other, "queued", 4, 500, cpus=8.0)
+        system.deployment.send_signal(victim, signal.SIGSTOP)
+        await until(lambda: system.epoch() > epoch, "take-over")
+        await until(
+            lambda: any(s.message["epoch"] > epoch for s in system.syncs),
+            "the new owner reaches a worker",
+        )
+        resumed = len(system.syncs)
+        system.deployment.send_signal(victim, signal.SIGCONT)
+        await until(
+            lambda: system.row(f"node/{victim}").get("state") == "held",
+            "the former owner has a lease again",
+        )
+        await system.finished(first + queued)
+        newest = {}
+        for sync in system.syncs:
+            sent = sync.message["epoch"]
+            if sync.status == "ok":
+                assert sent >= newest.get(sync.worker, 0), sync
+                newest[sync.worker] = sent
+        assert len(newest) == 4 and min(newest.values()) > epoch, newest
+        late_starts = [
+            sync
+            for sync in system.syncs[resumed:]
+            if sync.message["epoch"] <= epoch
+            and any(c["op"] == "start" for c in sync.message["commands"])
+        ]
+        assert late_starts == []
+
+
+class TestTableOutage:
+    @on_processes(**SHORT_LEASES)
+    async def test_work_goes_on_and_finishes_wait(self, system):
+        """Guards against work lost or acknowledged early in an outage."""
+        node = system.owner()
+        tasks = await system.submit(node, "outage", 4, 1_500)
+        await until(lambda: system.running(tasks) == 4, "tasks run")
+        system.deployment.table.faults.set(outage=True)
+        stopped = asyncio.Event()
+        callers = [
+            caller
+            for name in system.deployment.ports
+            for caller in system.load(name, stopped)
+        ]
+        records = [system.ledger.record(task) for task in tasks]
+        await until(lambda: all(r.finishes for r in records), "tasks end")
+        # The owner learns of the finishes and its node lease runs out.
+        begin = len(system.syncs)
+        await until(
+            lambda: (
+                {s.worker for s in system.syncs[begin:]}
+                == set(system.deployment.workers)
+            ),
+            "workers are renewed",
+        )
+        await asyncio.sleep(SHORT_LEASES["node_lease_ms"] / 1000)
+        assert not any(r.accepted for r in records)
+        system.deployment.table.faults.set()
+        await system.finished(tasks)
+        stopped.set()
+        await asyncio.gather(*callers)
+        assert set(system.results.values()) == {outcomes.OK}
+        rows = system.deployment.table.scan(f"task/{PARTITION}/sealing.outage")
+        states = [value.get("state") for _, _, value in rows]
+        assert states == ["finished"] * 4, rows
+
+
+class TestBadSettings:
+    def test_every_problem_is_printed_and_nothing_starts(self, tmp_path):
+        """Guards against a node that starts, or names one problem only."""
+        path = tmp_path / "bad.toml"
+        cfg = {
+            "node": "yumbo-1",
+            "data_centre": "yumbo",
+            "region": "valle",
+            "caller": {"host": "127.0.0.1", "port": 70_000},
+            "operator": {"host": "localhost", "port": 0},
+            "peer": {"host": "127.0.0.1", "port": 0, "secret": "short"},
+            "platform": {"table": "ftp://x", "objects": "http://127.0.0.1:1"},
+            "partitions": 0,
+            "colour": "blue",
+        }
+        processes.write_settings(path, cfg)
+        process = processes.launch(path, subprocess.PIPE)
+        try:
+            printed, _ = process.communicate(timeout=WAIT_S)
+        finally:
+            process.kill()
+            process.wait()
+        assert process.returncode == 2
+        keys = sorted(
+            line.split(": ")[2] for line in printed.decode().splitlines()
+        )
+        assert keys == [
+            "caller.port",
+            "colour",
+            "operator.host",
+            "partitions",
+            "peer.secret",
+            "platform.table",
+            "platform.vm_list",
+        ]
