--- a/packages/operator/src/skylarklug_operator/client.py
+++ b/packages/operator/src/skylarklug_operator/client.py
@@ -5,14 +5,22 @@
 from typing import Any
 from typing import NamedTuple
 
+import pydantic
 from tornado import httpclient
 from tornado import simple_httpclient
 
 from skylarklug import exceptions
+from skylarklug import query
 
 REQUEST_TIMEOUT_S = 15
 
 
+class _Body(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="allow")
+
+    status: str
+
+
 class Answer(NamedTuple):
     """A node's answer: its status and the other fields of the body."""
 
@@ -50,8 +58,11 @@
         message: Fields `command`, `key`, `if_version`, `dry_run`, `body`.
 
     Raises:
+        BadInput: The command is not valid.
         Unavailable: No node gave an answer.
     """
+    statement = query.parse(message["command"])
+    repeatable = message.get("key") or not query.changes_state(statement)
     problems = []
     for address in addresses:
         try:
@@ -59,7 +70,7 @@
         except (OSError, httpclient.HTTPError) as exc:
             problems.append(f"{address}: {exc}")
             refused = isinstance(exc, ConnectionRefusedError)
-            if refused or message.get("key"):
+            if refused or repeatable:
                 continue
             break
         return _decode(response, address)
@@ -77,9 +88,9 @@
             str(response.error), step="send command", peer=address
         )
     try:
-        body = json.loads(response.body)
+        body = dict(_Body.model_validate_json(response.body))
         status = body.pop("status")
-    except (ValueError, KeyError, AttributeError) as exc:
+    except pydantic.ValidationError as exc:
         raise exceptions.ProtocolError(
             f"malformed answer with status {response.code}",
             step="read answer",
