--- a/tests/features/record.py
+++ b/tests/features/record.py
@@ -130,7 +130,7 @@
                 node.name
             ].keep(node.name, event)
         )
-        self.fail = 0.0
+        self.fail = self.refuse = 0.0
         self.workers = {}
         for index in range(workers):
             vm = events.Vm(
