Let requests that arrive during the hand-over end before the exit

Cause: a request on a connection that the caller keeps open can arrive after the drain, while the partitions are released. It was sent to a worker, and the node exited as soon as the release was durable: the caller lost its answer.

Change: after the hand-over the node waits for open requests, at most stop.drain_ms, and then exits. A test holds the hand-over open with a table outage and sends a request on a kept connection. The tests leave a terminated process in the deployment until it has ended, so that it is always ended.

Conclusion: a planned stop also answers requests on kept connections.

--- a/packages/core/src/skylarklug/stopping.py
+++ b/packages/core/src/skylarklug/stopping.py
@@ -17,11 +17,19 @@
 
 
 class StoppingState:
-    """`phase` is "serving", "notice", "drain", "hand-over" or "exited"."""
+    """Progress of a graceful stop.
+
+    Attributes:
+        phase: "serving", "notice", "drain", "hand-over", "last-requests",
+            "cut" or "exited".
+        until: When the phase ends at the latest.
+        reason: Why the node exits, known after the hand-over.
+    """
 
     def __init__(self):
         self.phase = "serving"
         self.until = 0
+        self.reason = ""
 
 
 def new_state() -> StoppingState:
@@ -70,25 +78,52 @@
         if due or not requests.in_flight(state):
             _hand_over(state, effects)
     elif domain.phase == "hand-over" and due:
-        _exit(state, effects, "partitions not released in time")
+        _finish(state, effects, "partitions not released in time")
+    elif domain.phase == "last-requests":
+        if not requests.in_flight(state):
+            _exit(state, effects, domain.reason)
+        elif due:
+            _cut(state, effects)
+            # The answers are sent before the next tick exits.
+            _enter(state, effects, "cut", 0)
+    elif domain.phase == "cut":
+        _exit(state, effects, domain.reason)
+
+
+def _cut(state, effects):
+    fields = {"step": "drain", "in_flight": requests.in_flight(state)}
+    effects.append(fx.Log("warning", "drain-cut", fields))
+    requests.end_all(state, effects)
 
 
 def _hand_over(state, effects):
-    left = requests.in_flight(state)
-    if left:
-        fields = {"step": "drain", "in_flight": left}
-        effects.append(fx.Log("warning", "drain-cut", fields))
-        requests.end_all(state, effects)
+    if requests.in_flight(state):
+        _cut(state, effects)
     limits.return_all(state, effects)
     _enter(state, effects, "hand-over", HANDOVER_MS)
 
     def done(state, effects, result):
         if _domain(state).phase == "hand-over":
-            _exit(state, effects, "stopped")
+            _finish(state, effects, "stopped")
 
     contracts.release_all(state, effects, done)
 
 
+def _finish(state, effects, reason):
+    """Exits after the requests that arrived during the hand-over.
+
+    Connections that callers keep open bring requests also after the listener
+    has closed. Each brings at most one, because its answer closes it.
+    """
+    domain = _domain(state)
+    domain.reason = reason
+    if not requests.in_flight(state):
+        _exit(state, effects, reason)
+        return
+    drain = _setting(state, "drain_ms", DRAIN_MS)
+    _enter(state, effects, "last-requests", drain)
+
+
 def _exit(state, effects, reason):
     _domain(state).phase = "exited"
     effects.append(fx.Exit(0, reason))
--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import pathlib
+import re
 import signal
 import subprocess
 import time
@@ -48,6 +49,31 @@
         await asyncio.sleep(0.05)
 
 
+class KeptConnection:
+    """A caller's connection that stays open between requests."""
+
+    def __init__(self, port):
+        self._port = port
+        self._streams = None
+
+    async def get(self, token, ms):
+        """Returns head and body of the response."""
+        if self._streams is None:
+            self._streams = await asyncio.open_connection(
+                "127.0.0.1", self._port.port
+            )
+        reader, writer = self._streams
+        target = f"/svc/certvault/heats?token={token}&ms={ms}"
+        writer.write(f"GET {target} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = re.search(rb"content-length: (\d+)", head.lower())
+        return head, await reader.readexactly(int(length[1]))
+
+    def close(self):
+        if self._streams is not None:
+            self._streams[1].close()
+
+
 class System:
     """A deployment of processes with its callers and operator."""
 
@@ -297,7 +323,7 @@
             ),
             "requests are in flight",
         )
-        process = system.deployment.nodes.pop(victim)
+        process = system.deployment.nodes[victim]
         process.send_signal(signal.SIGTERM)
         # Callers leave as those of a load balancer that sees `/ready` do.
         url = f"http://{system.deployment.ports[victim].operator.address}/ready"
@@ -314,6 +340,33 @@
         # A lease that had expired would have been fenced by the new owner.
         assert system.row(f"node/{victim}").get("state") == "released"
 
+    @on_processes()
+    async def test_request_during_the_hand_over_is_answered(self, system):
+        """Guards against an exit that cuts a request on a kept connection."""
+        victim = system.owner()
+        token = f"{victim}.kept.0"
+        conn = KeptConnection(system.deployment.ports[victim].caller)
+        try:
+            await conn.get(f"{victim}.kept.first", 5)
+            table = system.deployment.table
+            table.faults.set(outage=True)
+            process = system.deployment.nodes[victim]
+            process.send_signal(signal.SIGTERM)
+            await until(
+                lambda: b"step=hand-over" in process.output.read_bytes(),
+                "hand-over",
+            )
+            answer = asyncio.create_task(conn.get(token, 1_500))
+            await until(lambda: token in system.ledger.requests, "it runs")
+            table.faults.set()
+            head, body = await answer
+        finally:
+            conn.close()
+        assert head.startswith(b"HTTP/1.1 200 ")
+        assert b"connection: close" in head.lower()
+        assert json.loads(body)["token"] == token
+        assert await process.wait() == 0
+
 
 class TestPause:
     @on_processes(**SHORT_LEASES)
