Explain a placement in the task's history, and show explanations as records

Cause: why showed the reason placed without the choice, as one table row that was wider than a screen; submit printed nothing.

Change: the recorded reason names the worker, the rule and up to three rejected candidates; rows with a history are printed one field a line. make serve runs each node in its own process and prints the process ids, so that one can be killed.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(BIN)/python -m skylarklug_standins.run examples/ile-reboot.toml
 
 serve: install
-	$(BIN)/python -m skylarklug_standins.serve examples/casva.toml
+	$(BIN)/python -m skylarklug_standins.serve --processes examples/casva.toml
 
 test: install
 	$(BIN)/python -m pytest -n 6
--- a/packages/core/src/skylarklug/attempts.py
+++ b/packages/core/src/skylarklug/attempts.py
@@ -25,7 +25,7 @@
     return task
 
 
-def start(state, effects, task, worker, started):
+def start(state, effects, task, worker, started, why="placed"):
     """Makes the next attempt of a pending task durable.
 
     `started(state, effects, durable)` is called once; with `durable` false
@@ -40,7 +40,7 @@
         job.next_index = max(job.next_index, task.index + 1)
     task.attempt += 1
     task.worker = worker
-    tasks.transition(state, effects, task, tasks.STARTING, "placed")
+    tasks.transition(state, effects, task, tasks.STARTING, why)
     attempt = task.attempt
 
     def done(state, effects, result):
--- a/packages/core/src/skylarklug/placement.py
+++ b/packages/core/src/skylarklug/placement.py
@@ -17,6 +17,8 @@
 AGING_MS = 300_000
 LOAD_MAX_AGE_MS = 10_000
 LOAD_INTERVAL_MS = 2_000
+# Rejected candidates named in the recorded reason; the log names them all.
+REASONS_KEPT = 3
 LOG_REPEAT_MS = 10_000
 MOVES_PER_TICK = 4
 
@@ -312,14 +314,18 @@
         else:
             release(state, effects, worker, task.id, attempt)
 
-    attempts.start(state, effects, task, worker, started)
+    against = [f"{name}:{why}" for name, why in rejected]
+    why = f"placed on {worker}: {reason}"
+    if against:
+        why += f", against {', '.join(against[:REASONS_KEPT])}"
+    attempts.start(state, effects, task, worker, started, why)
     quarantine.started(state, task.job.id, worker)
     if attempts.next_pending(task.job) is not None:
         part.waiting[task.job.id] = state.now
     tasks.log(
         effects, "place", task=task.id, attempt=attempt, worker=worker,
         reason=reason, free=free, size=task.job.size,
-        against=" ".join(f"{name}:{why}" for name, why in rejected),
+        against=" ".join(against),
     )  # fmt: skip
 
 
--- a/packages/operator/src/skylarklug_operator/render.py
+++ b/packages/operator/src/skylarklug_operator/render.py
@@ -20,14 +20,49 @@
         )
     lines = []
     rows = answer.body.get("rows")
-    if rows:
+    if rows and _is_nested(rows):
+        lines.extend(_records(rows))
+    elif rows:
         lines.append(_table(rows, answer.body.get("columns")))
     elif rows is not None:
         lines.append("(no rows)")
     if answer.body.get("message"):
         lines.append(answer.body["message"])
     lines.extend(_notes(answer.body))
-    return "\n".join(lines)
+    if not lines:
+        lines.extend(
+            f"{name}: {_cell(answer.body[name])}" for name in answer.body
+        )
+    return "\n".join(lines) or answer.status
+
+
+def _is_nested(rows):
+    """Returns whether a row holds rows of its own, as an explanation does."""
+    for row in rows:
+        for value in row.values():
+            if isinstance(value, list) and value and isinstance(value[0], dict):
+                return True
+    return False
+
+
+def _records(rows):
+    """Returns one line for each field, and for each entry of a history."""
+    lines = []
+    for row in rows:
+        for name, value in row.items():
+            if not isinstance(value, list):
+                lines.append(f"{name}: {_cell(value)}")
+                continue
+            lines.append(f"{name}:")
+            for entry in value:
+                lines.append(f"  {_entry(entry)}")
+    return lines
+
+
+def _entry(entry):
+    if not isinstance(entry, dict):
+        return entry
+    return " ".join(f"{name}={_cell(entry[name])}" for name in entry)
 
 
 def _table(rows, columns):
--- a/packages/standins/src/skylarklug_standins/processes.py
+++ b/packages/standins/src/skylarklug_standins/processes.py
@@ -113,6 +113,11 @@
             return False
         return response.code == 200
 
+    @property
+    def pid(self) -> int:
+        """Process id, 0 before the start."""
+        return 0 if self._process is None else self._process.pid
+
     def send_signal(self, signum: int):
         """Sends a signal to the process unless it has ended."""
         self._process.send_signal(signum)
--- a/packages/standins/src/skylarklug_standins/serve.py
+++ b/packages/standins/src/skylarklug_standins/serve.py
@@ -13,7 +13,9 @@
 
 from skylarklug import exceptions
 from skylarklug_standins import deployment as deployment_lib
+from skylarklug_standins import processes as processes_lib
 from skylarklug_standins import run
+from skylarklugd import logs
 
 
 def print_addresses(deployment: deployment_lib.Deployment):
@@ -23,6 +25,7 @@
             "node": node,
             "callers": f"http://{ports.caller.address}",
             "operators": ports.operator.address,
+            "process": getattr(deployment.nodes[node], "pid", "this one"),
         }
         for node, ports in deployment.ports.items()
     ]
@@ -34,31 +37,44 @@
     print(f"read token    {deployment.read_token}", flush=True)
 
 
-async def serve(cfg, *, node_class=None):
+async def serve(cfg, *, node_class=None, processes=False):
     """Starts the deployment and stops it gracefully on a signal."""
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(signum, stopping.set)
-    deployment = deployment_lib.Deployment(cfg, node_class=node_class)
-    await deployment.start()
-    print_addresses(deployment)
-    await stopping.wait()
-    print("stopping", flush=True)
-    await deployment.stop()
+    if processes:
+        deployment = processes_lib.ProcessDeployment(cfg)
+    else:
+        deployment = deployment_lib.Deployment(cfg, node_class=node_class)
+    try:
+        await deployment.start()
+        print_addresses(deployment)
+        if processes:
+            print(f"logs of nodes {deployment.directory}", flush=True)
+        await stopping.wait()
+        print("stopping", flush=True)
+    finally:
+        await deployment.stop()
 
 
 def main(argv=None) -> int:
     """Entry point; returns the exit status."""
     parser = argparse.ArgumentParser(prog="skylarklug_standins.serve")
     parser.add_argument("file", help="settings file of the deployment")
+    parser.add_argument(
+        "--processes",
+        action="store_true",
+        help="run each node in a process of its own, which can be killed",
+    )
     args = parser.parse_args(argv)
+    logs.set_level("info")
     try:
         cfg, _ = run.load(args.file)
     except exceptions.SettingsError as exc:
         print(exc.reason, file=sys.stderr)
         return run.EXIT_BAD_INPUT
-    asyncio.run(serve(cfg))
+    asyncio.run(serve(cfg, processes=args.processes))
     return run.EXIT_DONE
 
 
