Show where and why each task ran, and ignore invalid configuration rows

Cause: the list of tasks lost the worker once a task had finished and did not say why it ran there. A configuration row written by other means raised KeyError in the reducer and would have stopped every node that polled it.

Change: tasks keep their last worker and show the recorded placement reason; an invalid row is logged and changes nothing.

--- a/packages/core/src/skylarklug/configuration.py
+++ b/packages/core/src/skylarklug/configuration.py
@@ -371,7 +371,19 @@
 # ------------------------------------------------------------------- spread
 
 
+def _is_valid(value) -> bool:
+    document = value.get("document")
+    if not isinstance(value.get("version"), int) or document is None:
+        return False
+    return not check(document)
+
+
 def _apply_row(state, effects, row):
+    if row.value is not None and not _is_valid(row.value):
+        # A row written by other means must not stop the node.
+        fields = {"step": "read configuration", "version": row.version}
+        effects.append(effects_lib.Log("error", "config-invalid", fields))
+        return
     if row.value is not None:
         _apply(state, effects, row.value["version"], row.value["document"], "")
 
--- a/packages/core/src/skylarklug/jobs.py
+++ b/packages/core/src/skylarklug/jobs.py
@@ -376,14 +376,23 @@
         "class": job.klass,
         "state": state,
         "attempt": task.attempt,
-        "worker": task.worker if state in tasks.LIVE else "",
-        "progress": task.progress,
+        "worker": "" if state == tasks.PENDING else task.worker,
+        "progress": 1.0 if state == tasks.FINISHED else task.progress,
         "evictions": task.evictions,
         "failures": task.failures,
         "reason": task.reasons[-1][3] if task.reasons else "",
+        "placement": _placement_of(task),
     }
 
 
+def _placement_of(task):
+    """Returns the recorded reason of the last placement, or ""."""
+    for _, _, to, reason in reversed(task.reasons):
+        if to == tasks.STARTING:
+            return reason
+    return ""
+
+
 def explain(state, kind, name):
     """Says why a job or a task is where it is, or None when unknown here.
 
--- a/packages/core/src/skylarklug/query.py
+++ b/packages/core/src/skylarklug/query.py
@@ -23,6 +23,7 @@
     "tasks": (
         "task", "job", "team", "kind", "state", "attempt", "worker",
         "partition", "progress", "evictions", "failures", "reason",
+        "placement",
     ),
     "workers": (
         "worker", "data_centre", "rack", "state", "partition", "cpus",
--- a/packages/standins/src/skylarklug_standins/run.py
+++ b/packages/standins/src/skylarklug_standins/run.py
@@ -25,6 +25,14 @@
 EXIT_UNAVAILABLE = 4
 WHY_TASKS = 4
 TASK_ROWS = 60
+TASK_COLUMNS = (
+    "task",
+    "state",
+    "attempt",
+    "worker",
+    "evictions",
+    "placement",
+)
 WHY_WIDTH = 100
 WHY_INDENT = {"initial_indent": "  ", "subsequent_indent": "    "}
 
@@ -77,7 +85,11 @@
     answer = await driver.command("tasks")
     rows = answer.get("rows") or []
     if rows:
-        print_table("What ran where", rows[:TASK_ROWS])
+        shown = [
+            {name: row[name] for name in TASK_COLUMNS if name in row} or row
+            for row in rows[:TASK_ROWS]
+        ]
+        print_table("What ran where and why", shown)
         print(f"{len(rows)} tasks")
     else:
         print(f"\nWhat ran where: {answer['status']} {answer.get('message')}")
--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -236,3 +236,20 @@
         node = cluster.nodes["yumbo-1"]
         cluster.feed(node, 1, events.PeerMessage(0, "yumbo-2", body))
         assert configuration.version(node.state) == 2
+
+
+class TestForeignRow:
+    def test_invalid_row_changes_nothing(self):
+        """Guards against a node that stops at a row it did not write."""
+        cluster = start()
+        held = versions(cluster)
+        table = cluster.table
+        for value in (
+            {"document": configuration.EMPTY},
+            {"version": 99, "document": {"drained": "w-01"}},
+            {"version": "99", "document": configuration.EMPTY},
+        ):
+            table.version += 1
+            table.rows["config/current"] = (table.version, value)
+            cluster.run(cluster.now + 5_000)
+            assert versions(cluster) == held
