--- a/bench/shared_state.py
+++ b/bench/shared_state.py
@@ -15,6 +15,7 @@
 from tests.core import shared_fakes
 
 from skylarklug import configuration
+from skylarklug import document as document_lib
 from skylarklug import effects as fx
 from skylarklug import events
 from skylarklug import membership
@@ -57,7 +58,7 @@
         }
         for index in range(TEAMS)
     }
-    return {**configuration.EMPTY, "teams": teams}
+    return {**document_lib.EMPTY, "teams": teams}
 
 
 def show(title, rows, headers):
--- a/packages/core/src/skylarklug/commands.py
+++ b/packages/core/src/skylarklug/commands.py
@@ -3,6 +3,7 @@
 import difflib
 
 from skylarklug import configuration
+from skylarklug import document as document_lib
 from skylarklug import effects as effect_types
 from skylarklug import events
 from skylarklug import exceptions
@@ -10,6 +11,7 @@
 from skylarklug import jobs
 from skylarklug import lists
 from skylarklug import query
+from skylarklug import rows as rows_lib
 from skylarklug import submission
 from skylarklug import workers
 
@@ -77,7 +79,7 @@
 
 def _listing(state, effects, event, statement):
     def done(state, effects, rows, missing):
-        found = query.select(statement, rows)
+        found = rows_lib.select(statement, rows)
         body = {"rows": found, "columns": list(query.FIELDS[statement.name])}
         if missing:
             body["missing"] = missing
@@ -88,7 +90,7 @@
 
 def _count(state, effects, event, statement):
     def done(state, effects, rows, missing):
-        body = {"rows": query.count(statement, rows)}
+        body = {"rows": rows_lib.count(statement, rows)}
         if missing:
             body["missing"] = missing
         _answer(effects, event, "done", body)
@@ -119,7 +121,7 @@
     rows = lists.rows(state, statement.name)
     if statement.name not in gather.OWNED_LISTS:
         return rows
-    return [row for row in rows if query.matches(statement.where, row)]
+    return [row for row in rows if rows_lib.matches(statement.where, row)]
 
 
 def _why(state, effects, event, statement):
@@ -306,7 +308,7 @@
         _answer(effects, event, "conflict", body)
         return
     document = edit(configuration.copy_current(state))
-    errors = configuration.check(document)
+    errors = document_lib.check(document)
     if errors:
         raise exceptions.BadInput("; ".join(errors), step="check document")
     body = {"message": "the change is valid", "version": held}
--- a/packages/core/src/skylarklug/configuration.py
+++ b/packages/core/src/skylarklug/configuration.py
@@ -12,15 +12,10 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import copy
-import json
-from typing import Annotated
 from typing import Any
 from typing import NamedTuple
-from typing import NotRequired
-
-import pydantic
-from typing_extensions import TypedDict
 
+from skylarklug import document as document_lib
 from skylarklug import effects as effects_lib
 from skylarklug import events
 from skylarklug import exceptions
@@ -31,78 +26,19 @@
 POLL_INTERVAL_MS = 2_000
 CHANGE_DEADLINE_MS = 4_000
 CREATE_DELAY_MS = 1_000
-MAX_DOCUMENT_BYTES = 48 * 1024
 REPOLL_INTERVAL_MS = 200
 ASK_DELAY_MS = 400
 # With 30% loss a question and its answer both arrive in 49% of all cases; 16
 # questions fit into the 5 s that a change may take.
 ASK_INTERVAL_MS = 250
 
-_STRICT = pydantic.ConfigDict(extra="forbid", strict=True, allow_inf_nan=False)
-_Positive = Annotated[int, pydantic.Field(gt=0)]
-_Count = Annotated[int, pydantic.Field(ge=0)]
-_Amount = Annotated[float, pydantic.Field(ge=0)]
-_Weight = Annotated[float, pydantic.Field(ge=0, le=1)]
-_Name = Annotated[str, pydantic.Field(min_length=1)]
-
-
-class Service(TypedDict):
-    """Limits of a service; `timeout_ms` covers one attempt."""
-
-    __pydantic_config__ = _STRICT
-    slots: NotRequired[_Positive]
-    connections: NotRequired[_Positive]
-    timeout_ms: NotRequired[_Positive]
-    queue: NotRequired[_Count]
-
-
-class Team(TypedDict):
-    """Quota of a team and its weight in the fair share."""
-
-    __pydantic_config__ = _STRICT
-    cpus: NotRequired[_Amount]
-    memory_mb: NotRequired[_Count]
-    accelerators: NotRequired[_Count]
-    weight: NotRequired[Annotated[float, pydantic.Field(gt=0)]]
-
-
-class Weights(TypedDict):
-    """Weights of the three objectives."""
-
-    __pydantic_config__ = _STRICT
-    latency: _Weight
-    throughput: _Weight
-    evictions: _Weight
-
-
-class Document(TypedDict):
-    """A configuration document."""
-
-    __pydantic_config__ = _STRICT
-    services: NotRequired[dict[_Name, Service]]
-    teams: NotRequired[dict[_Name, Team]]
-    weights: NotRequired[Weights]
-    drained: NotRequired[list[_Name]]
-    limits: NotRequired[dict[_Name, _Amount]]
-
-
-EMPTY: Document = {
-    "services": {},
-    "teams": {},
-    "weights": {"latency": 0.4, "throughput": 0.3, "evictions": 0.3},
-    "drained": [],
-    "limits": {},
-}
-
-_ADAPTER = pydantic.TypeAdapter(Document)
-
 
 class ConfigurationState:
     """The document in force and what is known about newer ones."""
 
     def __init__(self):
         self.version = 0
-        self.document: Document = copy.deepcopy(EMPTY)
+        self.document: document_lib.Document = copy.deepcopy(document_lib.EMPTY)
         self.table_version = 0
         self.polling = False
         self.poll_at = 0
@@ -120,27 +56,12 @@
     return ConfigurationState()
 
 
-def check(document: Any) -> list[str]:
-    """Returns all errors of a document, each with the key that it concerns."""
-    try:
-        _ADAPTER.validate_python(document)
-    except pydantic.ValidationError as exc:
-        return [
-            f"{'.'.join(str(part) for part in error['loc'])}: {error['msg']}"
-            for error in exc.errors()
-        ]
-    size = len(json.dumps(document).encode())
-    if size > MAX_DOCUMENT_BYTES:
-        return [f"document: {size} bytes, at most {MAX_DOCUMENT_BYTES} allowed"]
-    return []
-
-
-def current(state) -> Document:
+def current(state) -> document_lib.Document:
     """Returns the document in force; it must not be changed in place."""
     return state.domains["configuration"].document
 
 
-def copy_current(state) -> Document:
+def copy_current(state) -> document_lib.Document:
     """Returns a copy of the document in force, free to be changed."""
     return copy.deepcopy(current(state))
 
@@ -173,7 +94,7 @@
     state,
     effects: list,
     actor: str,
-    edit: Callable[[Document], Document],
+    edit: Callable[[document_lib.Document], document_lib.Document],
     if_version: int,
     done: Callable,
     *,
@@ -245,13 +166,15 @@
     if if_version and if_version != held:
         done(state, effects, "conflict", _winner(row))
         return
-    document = EMPTY if row.value is None else row.value["document"]
+    document = (
+        document_lib.EMPTY if row.value is None else row.value["document"]
+    )
     try:
         document = edit(copy.deepcopy(document))
     except exceptions.BadInput as exc:
         done(state, effects, "bad-input", {"errors": [str(exc)]})
         return
-    errors = check(document)
+    errors = document_lib.check(document)
     if errors:
         done(state, effects, "bad-input", {"errors": errors})
         return
@@ -375,7 +298,7 @@
     document = value.get("document")
     if not isinstance(value.get("version"), int) or document is None:
         return False
-    return not check(document)
+    return not document_lib.check(document)
 
 
 def _apply_row(state, effects, row):
@@ -449,7 +372,7 @@
     domain = state.domains["configuration"]
     if body["version"] <= domain.version:
         return
-    errors = check(body["document"])
+    errors = document_lib.check(body["document"])
     if errors:
         # Only an accepted document reaches the table, so a peer that runs a
         # newer release is the likely source.
@@ -501,7 +424,9 @@
     the row is absent lets one of them win.
     """
     domain = state.domains["configuration"]
-    document = copy.deepcopy(state.settings.get("configuration", EMPTY))
+    document = copy.deepcopy(
+        state.settings.get("configuration", document_lib.EMPTY)
+    )
 
     def done(state, effects, status, body):
         domain.create_at = 0
--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -7,6 +7,7 @@
 from tests.core import shared_fakes
 
 from skylarklug import configuration
+from skylarklug import document as document_lib
 from skylarklug import effects as fx
 from skylarklug import events
 from skylarklug import exceptions
@@ -50,11 +51,11 @@
 class TestCheck:
     def test_all_errors_at_once(self):
         """Guards against operators who fix one error per attempt."""
-        document = copy.deepcopy(configuration.EMPTY)
+        document = copy.deepcopy(document_lib.EMPTY)
         document["services"] = {"certvault": {"slots": 0, "timout_ms": 5}}
         document["drained"] = "w-01"
         document["weights"] = {"latency": 2.0, "throughput": 0.2}
-        errors = configuration.check(document)
+        errors = document_lib.check(document)
         keys = {error.split(":")[0] for error in errors}
         assert keys == {
             "services.certvault.slots",
@@ -66,9 +67,9 @@
 
     def test_size_is_bounded(self):
         """Guards against a document that does not fit a peer's frame."""
-        document = copy.deepcopy(configuration.EMPTY)
+        document = copy.deepcopy(document_lib.EMPTY)
         document["drained"] = [f"worker-{index:040}" for index in range(1200)]
-        assert configuration.check(document)[0].startswith("document: ")
+        assert document_lib.check(document)[0].startswith("document: ")
 
     @hypothesis.given(
         st.recursive(
@@ -80,7 +81,7 @@
     @hypothesis.settings(max_examples=100, derandomize=True, deadline=None)
     def test_any_input_gives_errors_not_exceptions(self, document):
         """Guards against a document that crashes the node."""
-        assert isinstance(configuration.check(document), list)
+        assert isinstance(document_lib.check(document), list)
 
 
 class TestChange:
@@ -171,7 +172,7 @@
         assert answers[0] == ("done", {"version": 3})
         assert answers[1][0] == "bad-input"
         state = cluster.nodes["jamundi-3"].state
-        assert configuration.current(state) == configuration.EMPTY
+        assert configuration.current(state) == document_lib.EMPTY
 
 
 class TestReadiness:
@@ -230,7 +231,7 @@
             "from": "yumbo-2",
             "incarnation": 1,
             "version": 1,
-            "document": configuration.EMPTY,
+            "document": document_lib.EMPTY,
             "want": False,
         }
         node = cluster.nodes["yumbo-1"]
@@ -245,9 +246,9 @@
         held = versions(cluster)
         table = cluster.table
         for value in (
-            {"document": configuration.EMPTY},
+            {"document": document_lib.EMPTY},
             {"version": 99, "document": {"drained": "w-01"}},
-            {"version": "99", "document": configuration.EMPTY},
+            {"version": "99", "document": document_lib.EMPTY},
         ):
             table.version += 1
             table.rows["config/current"] = (table.version, value)
--- a/tests/core/test_query.py
+++ b/tests/core/test_query.py
@@ -4,6 +4,7 @@
 
 from skylarklug import exceptions
 from skylarklug import query
+from skylarklug import rows as rows_lib
 
 ROWS = [
     {"task": "a.x/0", "job": "a.x", "state": "running", "worker": "w-07"},
@@ -14,7 +15,7 @@
 
 
 def select(text):
-    return [row["task"] for row in query.select(query.parse(text), ROWS)]
+    return [row["task"] for row in rows_lib.select(query.parse(text), ROWS)]
 
 
 class TestParse:
@@ -90,7 +91,7 @@
     def test_count_by_field(self):
         """Guards against a count that ignores the condition."""
         statement = query.parse("count tasks where state=running by worker")
-        assert query.count(statement, ROWS) == [
+        assert rows_lib.count(statement, ROWS) == [
             {"worker": "w-07", "count": 2},
             {"worker": "w-10", "count": 1},
         ]
@@ -99,4 +100,4 @@
         """Guards against 9 sorting after 10."""
         rows = [{"job": "a", "priority": 9}, {"job": "b", "priority": 10}]
         statement = query.parse("jobs where priority>=10")
-        assert [row["job"] for row in query.select(statement, rows)] == ["b"]
+        assert [row["job"] for row in rows_lib.select(statement, rows)] == ["b"]
