Spread a job over workers when its partition has one rack

Change: the index counts a job's tasks by rack and by worker; the second count costs as much as the first, so another rack still wins. The reasons why jobs wait moved to waits.py.

The state machine of the index now checks both counts.

Conclusion: a killed worker takes fewer tasks of one job with it.

--- a/packages/core/src/skylarklug/index.py
+++ b/packages/core/src/skylarklug/index.py
@@ -10,6 +10,7 @@
 WIDEST_CANDIDATES = 4
 RANDOM_CANDIDATES = 4
 RACK_PENALTY = 0.25
+WORKER_PENALTY = 0.25
 FAILURE_PENALTY = 0.2
 FAILURES_COUNTED = 5
 ESTIMATE_DECAY = 0.8
@@ -108,9 +109,10 @@
         if job.priority < URGENT and job.kind != "service":
             self.preemptible += sign * resident.mcpus
         if self.racks is not None and job.spec["spread"] == "rack":
-            self.racks[job.id, self.rack] += sign
-            if not self.racks[job.id, self.rack]:
-                del self.racks[job.id, self.rack]
+            for key in ((job.id, self.rack), (job.id, self.rack, self.worker)):
+                self.racks[key] += sign
+                if not self.racks[key]:
+                    del self.racks[key]
         self._refresh()
 
     def _refresh(self):
@@ -262,7 +264,10 @@
             count = min(failures[worker][1], FAILURES_COUNTED)
             score += FAILURE_PENALTY * count
         if spread:
-            score += RACK_PENALTY * index.racks[job.id, account.rack]
+            rack, worker = account.rack, account.worker
+            score += RACK_PENALTY * index.racks[job.id, rack]
+            # A partition of one rack still spreads over its workers.
+            score += WORKER_PENALTY * index.racks[job.id, rack, worker]
         if best is None or score < best_score:
             if best is not None:
                 rejected.append((best.worker, f"{best_score:.3f}"))
--- a/packages/core/src/skylarklug/jobs.py
+++ b/packages/core/src/skylarklug/jobs.py
@@ -10,6 +10,7 @@
 from skylarklug import effects as effects_lib
 from skylarklug import events
 from skylarklug import tasks
+from skylarklug import waits
 
 POLL_MS = 2_000
 STOPS_PER_TICK = 16
@@ -398,8 +399,6 @@
 
     `kind` is "job" or "task"; `name` is the id.
     """
-    from skylarklug import placement
-
     job_id, index = name, ""
     if kind == "task":
         job_id, _, index = name.rpartition("/")
@@ -407,9 +406,9 @@
         job = part.jobs.get(job_id)
         if job is None:
             continue
-        waits = placement.explain(state, job)
+        waiting = waits.explain(state, job)
         if kind == "job":
-            return {**_job_row(job), "waits": waits}
+            return {**_job_row(job), "waits": waiting}
         if not index.isdecimal() or not job.first <= int(index) < job.end:
             continue
         task = job.tasks.get(int(index))
@@ -417,7 +416,7 @@
         return {
             **_list_task(job, int(index)),
             "checkpoint": task.checkpoint if task else None,
-            "waits": waits,
+            "waits": waiting,
             "history": [
                 {"at": at, "was": was, "state": to, "reason": reason}
                 for at, was, to, reason in history
--- a/packages/core/src/skylarklug/placement.py
+++ b/packages/core/src/skylarklug/placement.py
@@ -11,6 +11,7 @@
 from skylarklug import preemption
 from skylarklug import queues
 from skylarklug import tasks
+from skylarklug import waits
 
 STARTS_PER_ROUND = 32
 SHAPES_PER_TEAM = 8
@@ -19,7 +20,6 @@
 LOAD_INTERVAL_MS = 2_000
 # Rejected candidates named in the recorded reason; the log names them all.
 REASONS_KEPT = 3
-LOG_REPEAT_MS = 10_000
 MOVES_PER_TICK = 4
 
 
@@ -261,7 +261,7 @@
                 part.waiting.pop(job.id, None)
                 continue
             if not quota.admits(state, effects, name, team, size):
-                _note(state, effects, part, job, "quota", ())
+                waits.record(state, effects, part, job, "quota", ())
                 return False
             if _place_task(state, effects, name, part, task, level):
                 return True
@@ -277,7 +277,7 @@
 def _place_task(state, effects, name, part, task, level):
     job = task.job
     if not part.index.could_ever_fit(job.size):
-        _unrunnable(state, effects, name, part, job)
+        waits.mark_unrunnable(state, effects, name, part, job)
         return False
     job.unrunnable = ""
     chosen, rejected = None, ()
@@ -286,7 +286,7 @@
     if chosen is not None:
         commit(state, effects, chosen, task, "best-fit", rejected)
         return True
-    _note(state, effects, part, job, "no-room", rejected)
+    waits.record(state, effects, part, job, "no-room", rejected)
     return preemption.claim(state, effects, name, part, task, level)
 
 
@@ -329,50 +329,6 @@
     )  # fmt: skip
 
 
-def _unrunnable(state, effects, name, part, job):
-    if job.unrunnable:
-        return
-    job.unrunnable = (
-        f"needs cpus={job.size.mcpus / 1000:g} memory_mb={job.size.memory_mb}"
-        f" accelerators={job.size.accelerators} on one worker;"
-        f" largest: {part.index.largest()}"
-    )
-    tasks.log(
-        effects, "unrunnable", "warning", job=job.id, partition=name,
-        reason=job.unrunnable,
-    )  # fmt: skip
-
-
-def _note(state, effects, part, job, reason, rejected):
-    """Logs why a job waits, at most once per job in `LOG_REPEAT_MS`."""
-    last = part.logged.get(job.id)
-    if last is not None and state.now - last[0] < LOG_REPEAT_MS:
-        return
-    if len(part.logged) > 1000:
-        part.logged.clear()
-    part.logged[job.id] = (state.now, reason, tuple(rejected))
-    tasks.log(
-        effects, "wait", job=job.id, partition=job.partition, reason=reason,
-        size=job.size,
-        against=" ".join(f"{name}:{why}" for name, why in rejected),
-    )  # fmt: skip
-
-
-def explain(state, job) -> dict:
-    """Says since when and why a job waits; empty when it does not."""
-    part = state.domains["placement"].parts.get(job.partition)
-    if part is None or job.id not in part.queue.queued:
-        return {}
-    _, reason, rejected = part.logged.get(job.id, (0, "queued", ()))
-    since = part.waiting.get(job.id, state.now)
-    return {
-        "waiting_ms": state.now - since,
-        "priority": part.queue.queued[job.id],
-        "reason": job.unrunnable or reason,
-        "against": [f"{name}:{why}" for name, why in rejected],
-    }
-
-
 # -------------------------------------------------------------------- load
 
 
--- a/tests/core/test_index_machine.py
+++ b/tests/core/test_index_machine.py
@@ -72,8 +72,12 @@
             assert min(account.free) >= 0
             held = sum(r.mcpus for r in account.residents.values())
             assert account.used[0] == held
-        spread = sum(self.index.racks.values())
-        assert spread == sum(len(a.residents) for a in self.accounts)
+        residents = sum(len(a.residents) for a in self.accounts)
+        # Each resident counts once for its rack and once for its worker.
+        counts = self.index.racks
+        by_rack = sum(counts[key] for key in counts if len(key) == 2)
+        by_worker = sum(counts[key] for key in counts if len(key) == 3)
+        assert by_rack == by_worker == residents
 
 
 TestIndexMachine = IndexMachine.TestCase
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -82,6 +82,19 @@
         racks = {world.vms[name].rack for name in on_workers(world)}
         assert len(racks) == 3
 
+    def test_spreads_over_workers_of_one_rack(self, sim):
+        """Guards against a job that one worker failure stops."""
+        world = sim()
+        for name, vm in list(world.vms.items()):
+            world.vms[name] = vm._replace(rack="r0")
+        world.acquire(world.nodes[0])
+        world.run(1_000)
+        world.submit(
+            world.nodes[0], "k", tasks=3, spread="rack", run_time_ms=HOUR_MS
+        )
+        world.run(5_000)
+        assert len(set(on_workers(world))) == 3
+
     def test_log_names_rejected_candidates(self, sim):
         """Guards against decisions without a stated reason."""
         world = sim()
