--- a/packages/core/src/skylarklug/health.py
+++ b/packages/core/src/skylarklug/health.py
@@ -231,7 +231,7 @@
     service(state, health.service).soft.discard(worker)
     _domain(state).changed.append(worker)
     fields = {"worker": worker, "reason": "probe-answered"}
-    effects.append(fx.Log("info", "worker-return", fields))
+    effects.append(fx.Log("info", "worker-readmit", fields))
 
 
 def failed(state, effects, worker: str, step: str, sent: bool):
--- a/packages/core/src/skylarklug/workers.py
+++ b/packages/core/src/skylarklug/workers.py
@@ -175,7 +175,7 @@
             continue
         del domain.leaving[worker]
         fields = {"worker": worker, "reason": f"{source}-not-confirmed"}
-        effects.append(fx.Log("info", "worker-returned", fields))
+        effects.append(fx.Log("info", "leaving-dropped", fields))
         state.raise_event(events.WorkersChanged(state.now, (), (vm,), ()))
 
 
--- a/packages/node/src/skylarklugd/metrics.py
+++ b/packages/node/src/skylarklugd/metrics.py
@@ -13,14 +13,10 @@
 INSTRUMENTS = {
     "skylarklug.request.duration": ("histogram", "s"),
     "skylarklug.reducer.duration": ("histogram", "s"),
-    "skylarklug.task.wait": ("histogram", "s"),
     "skylarklug.queue.length": ("gauge", "{request}"),
     "skylarklug.slots.in_use": ("gauge", "{slot}"),
     "skylarklug.config.version": ("gauge", "1"),
-    "skylarklug.partitions.owned": ("gauge", "{partition}"),
-    "skylarklug.members.alive": ("gauge", "{node}"),
-    "skylarklug.peer.bytes": ("counter", "By"),
-    "skylarklug.platform.bytes": ("counter", "By"),
+    "skylarklug.control.bytes": ("counter", "By"),
 }
 
 
