Report a trace of other decisions as an error

Cause: operation ids are counters, so with other code a recorded answer can reach another question; the replay then ended with a traceback (KeyError).

Figures: the new test replays such a trace; it raised KeyError before.

Conclusion: a version of the code in the header would tell it earlier.

--- a/packages/core/src/skylarklug/api.py
+++ b/packages/core/src/skylarklug/api.py
@@ -3,6 +3,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from skylarklug import exceptions
 from skylarklug import invariants
 from skylarklug import reducer
 from skylarklug import trace
@@ -25,6 +26,22 @@
     violations: list[invariants.Violation]
 
 
+def _reduce_recorded(state, event, position):
+    """Reduces one recorded event.
+
+    Recorded answers carry the operation ids of the code that asked. Other
+    code may give such an id to another question and then fail on the answer.
+    """
+    try:
+        return reduce(state, event)
+    except Exception as exc:
+        raise exceptions.TraceError(
+            f"event {position} ({type(event).__name__}) does not fit these"
+            f" decisions: {exc!r}; replay it with the code that recorded it",
+            step="replay",
+        ) from exc
+
+
 def replay(stream) -> Replay:
     """Replays a recorded trace through a fresh reducer.
 
@@ -32,7 +49,8 @@
         stream: Binary file of a trace.
 
     Raises:
-        TraceError: The trace is damaged or of an unsupported version.
+        TraceError: The trace is damaged, of an unsupported version, or does
+            not fit the decisions of this code.
     """
     state = new_state()
     observer = invariants.Observer()
@@ -40,7 +58,7 @@
     seen = 0
     performed = 0
     for event in trace.read(stream):
-        produced = reduce(state, event)
+        produced = _reduce_recorded(state, event, seen)
         observer.observe(event, produced)
         digest = trace.digest(produced, digest)
         seen += 1
--- a/tests/core/test_trace.py
+++ b/tests/core/test_trace.py
@@ -9,6 +9,7 @@
 from tests.core import fakes
 
 from skylarklug import api
+from skylarklug import effects as fx
 from skylarklug import events
 from skylarklug import exceptions
 from skylarklug import reducer
@@ -172,3 +173,29 @@
         whole = api.replay(io.BytesIO(data))
         changed = api.replay(io.BytesIO(encode(stream)))
         assert whole.digest != changed.digest
+
+
+class TestForeignTrace:
+    def test_answer_to_another_question_is_a_clear_error(self):
+        """Guards against a traceback for a trace of other decisions."""
+        started = events.NodeStarted(0, "n", "dc", "r", 1, 1, {})
+        reads = []
+        state = reducer.new_state()
+        for event in (started, events.Tick(50), events.Tick(100)):
+            reads += [
+                effect
+                for effect in reducer.reduce(state, event)
+                if isinstance(effect, fx.ReadTable)
+            ]
+        row = events.Row(reads[0].keys[0] if reads[0].keys else "x", 1, {})
+        answers = [
+            events.TableAnswered(150, read.op_id, "read", 1, (row,))
+            for read in reads
+        ]
+        recorded = [started, events.Tick(50), events.Tick(100), *answers]
+        stream = io.BytesIO(
+            trace.encode_header()
+            + b"".join(trace.encode_event(event) for event in recorded)
+        )
+        with pytest.raises(exceptions.TraceError, match="does not fit"):
+            api.replay(stream)
