--- a/tests/core/test_lease.py
+++ b/tests/core/test_lease.py
@@ -104,6 +104,34 @@
         assert world.now - cut_at <= 30_000 + lease.MARGIN_MS + 5_500
         assert not world.violations
 
+    def test_short_checkpoint_interval_is_kept(self, sim):
+        """Guards against checkpoints that wait for the renewal each 5 s."""
+        world = sim()
+        worker = started(world, run_time_ms=60_000, checkpoint_ms=1_000)
+        world.run(3_000)
+        [task] = worker.tasks.values()
+        assert task["checkpoint"] is not None
+
+    def test_another_durable_end_is_not_accepted(self, sim):
+        """Guards against a worker that counts a dropped finish as durable."""
+        world = sim()
+        started(world, run_time_ms=3_000)
+        [key] = [key for key in world.rows if key.startswith("task/")]
+        _, row = world.rows[key]
+        other = {**row, "attempt": row["attempt"] + 1, "state": "finished"}
+        world.version += 1
+        world.rows[key] = (world.version, other)
+        acks = []
+        exchange = world.exchange
+
+        def spy(node, message):
+            acks.extend(c for c in message.commands if c.op == "ack")
+            return exchange(node, message)
+
+        world.exchange = spy
+        world.run(12_000)
+        assert [c.fields for c in acks] == [{"accepted": False}]
+
     def test_resumes_from_the_checkpoint(self, sim):
         """Guards against work that is lost when a worker dies."""
         world = sim()
--- a/tests/node/test_platform.py
+++ b/tests/node/test_platform.py
@@ -168,6 +168,18 @@
         run(body)
 
 
+class TestUnchangedList:
+    def test_an_unchanged_list_is_not_sent_again(self):
+        """Guards against 400 KB a second at 1,600 workers."""
+
+        async def body(edge):
+            listed, etag = await edge.client._read_vm_list("")
+            assert listed is not None and etag
+            assert await edge.client._read_vm_list(etag) == (None, etag)
+
+        run(body)
+
+
 class TestSync:
     def test_a_late_message_is_dropped(self):
         """Guards against a paused owner that acts after its deadline."""
