Remove code that nothing calls, and refuse dry runs in one place

Cause: a read of the whole change found four exception classes, a function, a constant and a default argument without a user, and the refusal of a dry run written three times.

Change: removed; _refuse_dry_run serves cancel, move and rollback.

--- a/packages/core/src/skylarklug/attempts.py
+++ b/packages/core/src/skylarklug/attempts.py
@@ -25,7 +25,7 @@
     return task
 
 
-def start(state, effects, task, worker, started, why="placed"):
+def start(state, effects, task, worker, started, why):
     """Makes the next attempt of a pending task durable.
 
     `started(state, effects, durable)` is called once; with `durable` false
--- a/packages/core/src/skylarklug/commands.py
+++ b/packages/core/src/skylarklug/commands.py
@@ -199,11 +199,15 @@
     jobs.submit(state, effects, event.actor, event.key, spec, done)
 
 
-def _cancel(state, effects, event, statement):
+def _refuse_dry_run(event, verb, step):
     if event.dry_run:
         raise exceptions.BadInput(
-            "cancel has no dry run", step="cancel job", request=statement.job
+            f"{verb} has no dry run", step=step, request=event.text
         )
+
+
+def _cancel(state, effects, event, statement):
+    _refuse_dry_run(event, "cancel", "cancel job")
     jobs.cancel(
         state,
         effects,
@@ -216,10 +220,7 @@
 
 
 def _move(state, effects, event, statement):
-    if event.dry_run:
-        raise exceptions.BadInput(
-            "move has no dry run", step="move job", request=statement.job
-        )
+    _refuse_dry_run(event, "move", "move job")
     jobs.move(
         state,
         effects,
@@ -316,10 +317,7 @@
 
 
 def _rollback(state, effects, event, statement):
-    if event.dry_run:
-        raise exceptions.BadInput(
-            "rollback has no dry run", step="roll back configuration"
-        )
+    _refuse_dry_run(event, "rollback", "roll back configuration")
     configuration.rollback(
         state,
         effects,
--- a/packages/core/src/skylarklug/exceptions.py
+++ b/packages/core/src/skylarklug/exceptions.py
@@ -35,14 +35,6 @@
     """A settings file or a configuration document is not valid."""
 
 
-class JobError(BadInput):
-    """A job specification is not valid or can never run."""
-
-
-class Conflict(SkylarklugError):
-    """Another writer changed the data first; `request` shows the winner."""
-
-
 class Unavailable(SkylarklugError):
     """The other side did not answer; the effect of a write is unknown."""
 
@@ -55,13 +47,5 @@
     """A peer broke the framing or the message format."""
 
 
-class NotRun(SkylarklugError):
-    """The request certainly did not run."""
-
-
-class OutcomeUnknown(SkylarklugError):
-    """The request may have run."""
-
-
 class TraceError(BadInput):
     """A recorded trace is damaged or has an unsupported version."""
--- a/packages/core/src/skylarklug/stopping.py
+++ b/packages/core/src/skylarklug/stopping.py
@@ -41,11 +41,6 @@
     return state.domains["stopping"]
 
 
-def is_stopping(state) -> bool:
-    """Tells whether the node has been asked to stop."""
-    return _domain(state).phase != "serving"
-
-
 def _setting(state, name, default):
     stop = state.settings.get("stop", {})
     return int(stop.get(name, state.settings.get(f"stop.{name}", default)))
--- a/packages/standins/src/skylarklug_standins/worker.py
+++ b/packages/standins/src/skylarklug_standins/worker.py
@@ -25,7 +25,6 @@
 from skylarklug_standins import simulation
 
 ADVANCE_INTERVAL_MS = 25
-DEFAULT_SERVICE_MS = 5.0
 STORE_TIMEOUT_S = 1.0
 STORE_CLIENTS = 16
 LONGEST_SERVICE_MS = 60_000.0
