--- /dev/null
+++ b/packages/core/src/skylarklug/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling of jobs made of steps, on workers that hold leases."""
--- /dev/null
+++ b/packages/core/src/skylarklug/scheduler/codec.py
@@ -0,0 +1,71 @@
+"""Rows of the scheduler: jobs and their progress, to and from plain maps."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from skylarklug import exceptions
+from skylarklug.scheduler import records
+
+_STEP_DEFAULTS = records.Step(0, records.Resources(0, 0, 0), 0)
+
+
+def _encode_step(step: records.Step) -> dict[str, Any]:
+    fields = {}
+    for name, value in step._asdict().items():
+        if name == "need":
+            fields[name] = list(value)
+        elif value != getattr(_STEP_DEFAULTS, name):
+            fields[name] = list(value) if isinstance(value, tuple) else value
+    return fields
+
+
+def _decode_step(fields) -> records.Step:
+    values = dict(fields)
+    values["need"] = records.Resources(*values["need"])
+    values["after"] = tuple(values.get("after", ()))
+    return _STEP_DEFAULTS._replace(**values)
+
+
+def encode_job(spec: records.JobSpec) -> dict[str, Any]:
+    """Returns the row value of a job."""
+    fields = spec._asdict()
+    fields["steps"] = [_encode_step(step) for step in spec.steps]
+    del fields["job"]
+    return fields
+
+
+def decode_job(job: str, value: Mapping[str, Any]) -> records.JobSpec:
+    """Returns the job of a row.
+
+    Raises:
+        ProtocolError: The value is no job.
+    """
+    try:
+        fields = dict(value)
+        fields["steps"] = tuple(_decode_step(s) for s in fields["steps"])
+        return records.JobSpec(job=job, **fields)
+    except (KeyError, TypeError, ValueError) as exc:
+        raise exceptions.ProtocolError(
+            f"row holds no job: {exc!r}", step="decode job", request=job
+        ) from exc
+
+
+def pack_indices(indices) -> str:
+    """Returns a set of small numbers as a hexadecimal bit set."""
+    bits = 0
+    for index in indices:
+        bits |= 1 << index
+    return f"{bits:x}"
+
+
+def unpack_indices(text: str) -> set[int]:
+    """Returns the numbers of a hexadecimal bit set."""
+    bits = int(text, 16)
+    found = set()
+    index = 0
+    while bits:
+        if bits & 1:
+            found.add(index)
+        bits >>= 1
+        index += 1
+    return found
--- /dev/null
+++ b/packages/core/src/skylarklug/scheduler/effects.py
@@ -0,0 +1,176 @@
+"""Effects that leave the scheduler as data; adapters perform them."""
+
+from collections.abc import Mapping
+from typing import Any
+from typing import NamedTuple
+
+from skylarklug.scheduler import records
+
+
+class Answer(NamedTuple):
+    """Answer a client. `retry_after_s` is 0 when absent."""
+
+    req: str
+    status: int
+    body: Mapping[str, Any]
+    retry_after_s: int
+
+
+class Check(NamedTuple):
+    """The row must have this version; 0 means that it must be absent."""
+
+    table: str
+    key: str
+    version: int
+
+
+class Write(NamedTuple):
+    """Set a row, or delete it when `value` is None."""
+
+    table: str
+    key: str
+    value: Mapping[str, Any] | None
+
+
+class Commit(NamedTuple):
+    """Apply all writes if all checks hold, else nothing."""
+
+    op: str
+    checks: tuple[Check, ...]
+    writes: tuple[Write, ...]
+    timeout_ms: int
+
+
+class ReadRows(NamedTuple):
+    """Read one row, or the whole table when `key` is empty."""
+
+    op: str
+    table: str
+    key: str
+    timeout_ms: int
+
+
+class Follow(NamedTuple):
+    """Read a table and report its changes from then on."""
+
+    table: str
+
+
+class Unfollow(NamedTuple):
+    """Stop following a table."""
+
+    table: str
+
+
+class Look(NamedTuple):
+    """Renew a worker's lease and ask what runs and what ended there.
+
+    `lease_until` is on the worker's clock in milliseconds; 0 renews nothing.
+    `acknowledged` ends are forgotten. The answer waits up to `wait_ms` for an
+    end.
+    """
+
+    worker: str
+    address: str
+    epoch: int
+    acknowledged: int
+    lease_until: int
+    wait_ms: int
+    timeout_ms: int
+
+
+class StartRun(NamedTuple):
+    """Start a task on a worker under a lease until `lease_until`."""
+
+    worker: str
+    address: str
+    born: int
+    epoch: int
+    key: records.TaskKey
+    attempt: int
+    payload: str
+    checkpoint: str
+    ticket: str
+    lease_until: int
+    timeout_ms: int
+
+
+class StopRun(NamedTuple):
+    """Stop a run on a worker; it saves its progress where it can."""
+
+    worker: str
+    address: str
+    epoch: int
+    key: records.TaskKey
+    attempt: int
+    timeout_ms: int
+
+
+class PaceRun(NamedTuple):
+    """Let a run use `percent` of its processor time."""
+
+    worker: str
+    address: str
+    epoch: int
+    key: records.TaskKey
+    attempt: int
+    percent: int
+    timeout_ms: int
+
+
+class AskAdvice(NamedTuple):
+    """Ask which of these workers may run a step."""
+
+    job: str
+    occurrence: int
+    step: int
+    workers: tuple[str, ...]
+    timeout_ms: int
+
+
+class ListMachines(NamedTuple):
+    """Read the list of machines."""
+
+
+class BeginUpkeep(NamedTuple):
+    """Take a machine down for its upkeep; what runs there ends."""
+
+    machine: str
+    wave: int
+    epoch: int
+
+
+class ReportWave(NamedTuple):
+    """Tell the operator how a wave stands: "running" or "done"."""
+
+    wave: int
+    state: str
+
+
+class SetReady(NamedTuple):
+    """Set what the readiness check answers."""
+
+    ready: bool
+    reason: str
+
+
+class Exit(NamedTuple):
+    """End the process."""
+
+    reason: str
+
+
+class Log(NamedTuple):
+    """One log line; `level` is "info", "warning" or "error"."""
+
+    level: str
+    event: str
+    fields: Mapping[str, Any]
+
+
+class Measure(NamedTuple):
+    """Add `value` to the metric `name` with these attributes."""
+
+    name: str
+    value: float
+    attributes: Mapping[str, str]
--- /dev/null
+++ b/packages/core/src/skylarklug/scheduler/intake.py
@@ -0,0 +1,212 @@
+"""Calls of clients: submit, ask, cancel, count. Every node serves them."""
+
+import functools
+
+from skylarklug.scheduler import codec
+from skylarklug.scheduler import effects as fx
+from skylarklug.scheduler import events
+from skylarklug.scheduler import records
+from skylarklug.scheduler import store
+
+RETRY_AFTER_S = 1
+# A client that waits less is answered before its deadline all the same.
+ANSWER_MARGIN_MS = 100
+MIN_STORE_TIMEOUT_MS = 100
+JOB_ID_LENGTH = 16
+_HEX = frozenset("0123456789abcdef")
+CANCEL_SUFFIX = ".cancel"
+
+
+def _answer(state, effects, req, status, body=None, retry_after_s=0):
+    state.open_requests.pop(req, None)
+    effects.append(fx.Answer(req, status, body or {}, retry_after_s))
+    effects.append(
+        fx.Measure("skylarklug.requests", 1, {"status": str(status)})
+    )
+
+
+def _refuse(state, effects, req, status, job, reason):
+    fields = {"req": req, "job": job, "status": status, "reason": reason}
+    effects.append(fx.Log("warning", "request-failed", fields))
+    retry = RETRY_AFTER_S if status == 503 else 0
+    _answer(state, effects, req, status, {"reason": reason}, retry)
+
+
+def _timeout_ms(deadline_ms):
+    if not deadline_ms:
+        return store.COMMIT_TIMEOUT_MS
+    budget = max(MIN_STORE_TIMEOUT_MS, deadline_ms - ANSWER_MARGIN_MS)
+    return min(store.COMMIT_TIMEOUT_MS, budget)
+
+
+def _resolve(state, event, effects):
+    """Returns (queue, rest of the path), or answers and returns None."""
+    state.open_requests[event.req] = state.now
+    cfg = state.configuration
+    if cfg is None:
+        _refuse(state, effects, event.req, 503, "", "no configuration yet")
+        return None
+    queue = cfg.match(event.host, event.path)
+    if queue is None:
+        reason = f"no queue in configuration {cfg.version}"
+        _refuse(state, effects, event.req, 404, "", reason)
+        return None
+    return queue, event.path[len(queue.prefix) :]
+
+
+def _is_job_id(text):
+    return len(text) == JOB_ID_LENGTH and _HEX.issuperset(text.lower())
+
+
+def _store_failure(state, effects, req, job, answer, what):
+    """Answers a request whose store call did not work."""
+    if answer.status == "refused":
+        reason = f"the store did nothing ({what})"
+        _refuse(state, effects, req, 503, job, reason)
+    else:
+        reason = f"no answer from the store ({what})"
+        _refuse(state, effects, req, 504, job, reason)
+
+
+# ------------------------------------------------------------------- submit
+
+
+def _on_submitted(state, event, effects):
+    resolved = _resolve(state, event, effects)
+    if resolved is None:
+        return
+    queue, job = resolved
+    problem = event.problem
+    if not _is_job_id(job):
+        problem = "a job id has 16 hexadecimal digits"
+    if problem:
+        _refuse(state, effects, event.req, 400, job, problem)
+        return
+    spec = event.body._replace(
+        job=job,
+        queue=queue.name,
+        service=queue.service,
+        accepted_ms=state.wall_ms,
+    )
+    work = {"state": records.PENDING, "queue": queue.name}
+    store.commit(
+        state,
+        effects,
+        [fx.Check("work", job, 0)],
+        [
+            fx.Write("jobs", job, codec.encode_job(spec)),
+            fx.Write("work", job, work),
+        ],
+        functools.partial(_on_stored, event.req, job, queue.name),
+        _timeout_ms(event.deadline_ms),
+    )
+
+
+def _on_stored(req, job, queue, state, effects, answer):
+    if answer.status not in ("ok", "conflict"):
+        _store_failure(state, effects, req, job, answer, "submit")
+        return
+    fields = {
+        "job": job,
+        "req": req,
+        "queue": queue,
+        "repeated": answer.status == "conflict",
+        "version": answer.version,
+        "ms": state.now - answer.sent_at,
+    }
+    effects.append(fx.Log("info", "job-accepted", fields))
+    _answer(state, effects, req, 200)
+
+
+# ---------------------------------------------------------------------- ask
+
+
+def _on_asked(state, event, effects):
+    resolved = _resolve(state, event, effects)
+    if resolved is None:
+        return
+    queue, job = resolved
+    if not job:
+        waiting = state.beat.get("waiting", {}).get(queue.name, 0)
+        _answer(state, effects, event.req, 200, {"waiting": waiting})
+        return
+    if not _is_job_id(job):
+        _answer(state, effects, event.req, 410)
+        return
+    store.read(
+        state,
+        effects,
+        "work",
+        job,
+        functools.partial(_on_state_read, event.req, job),
+        _timeout_ms(event.deadline_ms),
+    )
+
+
+def _on_state_read(req, job, state, effects, answer):
+    if answer.status != "ok":
+        _store_failure(state, effects, req, job, answer, "state")
+        return
+    if not answer.rows:
+        _answer(state, effects, req, 410)
+        return
+    job_state = answer.rows[0].value["state"]
+    _answer(state, effects, req, 200, {"state": job_state})
+
+
+# ------------------------------------------------------------------- cancel
+
+
+def _on_cancelled(state, event, effects):
+    resolved = _resolve(state, event, effects)
+    if resolved is None:
+        return
+    _, job = resolved
+    if not _is_job_id(job):
+        _answer(state, effects, event.req, 410)
+        return
+    store.read(
+        state,
+        effects,
+        "work",
+        job,
+        functools.partial(_on_cancel_read, event.req, job, event.deadline_ms),
+        _timeout_ms(event.deadline_ms),
+    )
+
+
+def _on_cancel_read(req, job, deadline_ms, state, effects, answer):
+    if answer.status != "ok":
+        _store_failure(state, effects, req, job, answer, "cancel")
+        return
+    if not answer.rows:
+        _answer(state, effects, req, 410)
+        return
+    if answer.rows[0].value["state"] in records.FINAL_STATES:
+        _answer(state, effects, req, 200)
+        return
+    marker = fx.Write("jobs", job + CANCEL_SUFFIX, {"at": state.wall_ms})
+    store.commit(
+        state,
+        effects,
+        [],
+        [marker],
+        functools.partial(_on_cancel_stored, req, job),
+        _timeout_ms(deadline_ms),
+    )
+
+
+def _on_cancel_stored(req, job, state, effects, answer):
+    if answer.status != "ok":
+        _store_failure(state, effects, req, job, answer, "cancel")
+        return
+    fields = {"job": job, "req": req, "version": answer.version}
+    effects.append(fx.Log("info", "cancel-accepted", fields))
+    _answer(state, effects, req, 200)
+
+
+HANDLERS = {
+    events.JobSubmitted: _on_submitted,
+    events.JobAsked: _on_asked,
+    events.JobCancelled: _on_cancelled,
+}
--- /dev/null
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -0,0 +1,338 @@
+"""Life of a job at its leader: loading, steps, occurrences, the end."""
+
+import heapq
+
+from skylarklug import exceptions
+from skylarklug.scheduler import codec
+from skylarklug.scheduler import effects as fx
+from skylarklug.scheduler import events
+from skylarklug.scheduler import intake
+from skylarklug.scheduler import orders
+from skylarklug.scheduler import records
+from skylarklug.scheduler import state as state_lib
+
+TABLE = "jobs"
+# The row of a job with times is marked as begun this long before it is due.
+BEGIN_AHEAD_MS = 1_000
+# Starts are this much late on purpose, because clocks differ a little.
+DUE_MARGIN_MS = 30
+NEEDED_TABLES = frozenset({"jobs", "work", "roster"})
+
+
+def is_loaded(shard) -> bool:
+    """Whether the books hold all that former leaders left."""
+    return NEEDED_TABLES <= shard.loaded
+
+
+def queue_of(state, job) -> records.Queue | None:
+    """Returns the queue of a job while the configuration has it."""
+    return state.configuration.queues.get(job.spec.queue)
+
+
+def service_of(state, job) -> str:
+    """Returns the service whose workers run the job's tasks."""
+    queue = queue_of(state, job)
+    return job.spec.service if queue is None else queue.service
+
+
+def max_attempts(state, job) -> int:
+    """Returns how many failed ends of a task end the job."""
+    queue = queue_of(state, job)
+    return 1 if queue is None else max(1, queue.max_attempts)
+
+
+def priority_of(state, job) -> int:
+    """Returns the job's priority; 0 comes first."""
+    queue = queue_of(state, job)
+    return 0 if queue is None else queue.priority
+
+
+def mark_dirty(shard, job):
+    """Queues the job's `work` row for the next commit."""
+    shard.dirty[job.spec.job] = None
+
+
+# ------------------------------------------------------------------ loading
+
+
+def _on_rows(state, event, effects):
+    shard = state.shard
+    if shard is None or event.table != TABLE:
+        return
+    if event.whole:
+        shard.loaded.add(TABLE)
+    shard.job_rows.extend(event.rows)
+    _take_rows(state, effects)
+
+
+def _take_rows(state, effects):
+    shard = state.shard
+    if "work" not in shard.loaded:
+        return
+    rows, shard.job_rows = shard.job_rows, []
+    for row in rows:
+        if row.value is None:
+            continue
+        if row.key.endswith(intake.CANCEL_SUFFIX):
+            _on_marker(
+                state, effects, row.key[: -len(intake.CANCEL_SUFFIX)]
+            )
+            continue
+        if row.key in shard.jobs or row.key in shard.closed:
+            continue
+        _load(state, effects, row)
+
+
+def _load(state, effects, row):
+    shard = state.shard
+    try:
+        spec = codec.decode_job(row.key, row.value)
+    except exceptions.ProtocolError as exc:
+        fields = {"job": row.key, "step": exc.step, "reason": exc.reason}
+        effects.append(fx.Log("error", "job-unreadable", fields))
+        return
+    work = shard.work_rows.pop(row.key, None)
+    version = row.version if work is None else work.version
+    job = state_lib.Job(spec, version, state.now)
+    if work is not None:
+        _restore(job, work.value)
+    shard.jobs[spec.job] = job
+    queue = queue_of(state, job)
+    objective = 0 if queue is None else queue.objective_ms
+    stretch = 1.0 if queue is None else queue.stretch
+    job.deadline = int(
+        spec.accepted_ms + objective + stretch * chain_ms(spec.steps)
+    )
+    if job.state in records.FINAL_STATES:
+        mark_dirty(shard, job)
+        return
+    if spec.repeats:
+        for occurrence in range(spec.repeats):
+            due = spec.first_due_ms + occurrence * spec.interval_ms
+            heapq.heappush(shard.due, (due, spec.job, occurrence))
+        return
+    heapq.heappush(shard.due, (0, spec.job, 0))
+    _open_due(state, effects)
+
+
+def _restore(job, work):
+    job.state = work["state"]
+    job.begun = bool(work.get("epoch"))
+    job.started = job.begun
+    for name, bits in work.get("done", {}).items():
+        occurrence, step = name.split(".")
+        indices = codec.unpack_indices(bits)
+        job.done[int(occurrence), int(step)] = indices
+    for name, attempts in work.get("failed", {}).items():
+        occurrence, step, index = name.split(".")
+        key = records.TaskKey(
+            job.spec.job, int(occurrence), int(step), int(index)
+        )
+        job.failures[key] = set(attempts)
+
+
+def chain_ms(steps) -> int:
+    """Returns the longest chain of estimates through the steps."""
+    ends: list[int] = []
+    for step in steps:
+        before = [ends[i] for i in step.after if i < len(ends)]
+        ends.append(step.estimate_ms + max(before, default=0))
+    return max(ends, default=0)
+
+
+# -------------------------------------------------------------- occurrences
+
+
+def _open_due(state, effects):
+    shard = state.shard
+    while shard.due:
+        due, name, occurrence = shard.due[0]
+        if due - BEGIN_AHEAD_MS > state.wall_ms:
+            return
+        heapq.heappop(shard.due)
+        job = shard.jobs.get(name)
+        if job is None or job.state in records.FINAL_STATES:
+            continue
+        if not job.begun:
+            mark_dirty(shard, job)
+        _open(state, job, occurrence, due)
+
+
+def _open(state, job, occurrence, due):
+    """Creates the tasks of one occurrence."""
+    if occurrence in job.opened:
+        return
+    job.opened.add(occurrence)
+    not_before = 0
+    if due:
+        not_before = due + DUE_MARGIN_MS - state.wall_offset
+    shard = state.shard
+    held = shard.settled_at if job.begun and not shard.settled else 0
+    for number, step in enumerate(job.spec.steps):
+        done = job.done.setdefault((occurrence, number), set())
+        job.left[occurrence, number] = step.count - len(done)
+        for index in range(step.count):
+            if index in done:
+                continue
+            key = records.TaskKey(job.spec.job, occurrence, number, index)
+            task = state_lib.Task(job, key, step)
+            task.failures = job.failures.setdefault(key, set())
+            task.not_before = not_before
+            task.held_until = held
+            task.wanted_at = state.now
+            job.tasks[key] = task
+    for number, step in enumerate(job.spec.steps):
+        if _is_unblocked(job, occurrence, step):
+            _make_ready(shard, job, occurrence, number)
+
+
+def _is_unblocked(job, occurrence, step):
+    for before in step.after:
+        if job.left.get((occurrence, before), 0):
+            return False
+    return True
+
+
+def _make_ready(shard, job, occurrence, number):
+    for index in range(job.spec.steps[number].count):
+        key = records.TaskKey(job.spec.job, occurrence, number, index)
+        task = job.tasks.get(key)
+        if task is not None and task.status == state_lib.WAITING:
+            make_ready(shard, task)
+
+
+def make_ready(shard, task):
+    """Queues a task for placement."""
+    group = shard.ready.setdefault(task.key[:3], {})
+    group[task.key] = task
+    shard.place_soon = True
+
+
+def drop_ready(shard, task):
+    """Removes a task from the queue for placement."""
+    group = shard.ready.get(task.key[:3])
+    if group is None:
+        return
+    group.pop(task.key, None)
+    if not group:
+        del shard.ready[task.key[:3]]
+
+
+# --------------------------------------------------------------------- ends
+
+
+def finish_task(state, effects, task):
+    """Notes that a task has ended as done, and opens what waits for it."""
+    job = task.job
+    shard = state.shard
+    key = task.key
+    done = job.done[key.occurrence, key.step]
+    if key.index in done:
+        return
+    done.add(key.index)
+    drop_ready(shard, task)
+    if task.worker:
+        # Another run of the task: it is not needed any more.
+        orders.stop(state, effects, task, "already done")
+    else:
+        forget_task(job, task)
+    mark_dirty(shard, job)
+    job.left[key.occurrence, key.step] -= 1
+    if job.left[key.occurrence, key.step]:
+        return
+    for number, step in enumerate(job.spec.steps):
+        if key.step not in step.after:
+            continue
+        if _is_unblocked(job, key.occurrence, step):
+            _make_ready(shard, job, key.occurrence, number)
+    if _is_complete(job):
+        _close(state, effects, job, records.DONE, "all tasks done")
+
+
+def forget_task(job, task):
+    """Drops a task that has ended and whose runs are gone."""
+    task.status = state_lib.FINISHED
+    job.tasks.pop(task.key, None)
+    job.failures.pop(task.key, None)
+
+
+def _is_complete(job):
+    occurrences = max(1, job.spec.repeats)
+    if len(job.opened) < occurrences:
+        return False
+    return not any(job.left.values())
+
+
+def fail_job(state, effects, job, task):
+    """Ends a job because a task failed as often as it may."""
+    reason = f"task {task.key} failed {len(task.failures)} times"
+    _close(state, effects, job, records.FAILED, reason)
+
+
+def _close(state, effects, job, final, reason):
+    if job.state in records.FINAL_STATES:
+        return
+    job.state = final
+    shard = state.shard
+    mark_dirty(shard, job)
+    fields = {
+        "job": job.spec.job,
+        "state": final,
+        "reason": reason,
+        "late_ms": state.wall_ms - job.deadline,
+        "age_ms": state.wall_ms - job.spec.accepted_ms,
+    }
+    effects.append(fx.Log("info", "job-ended", fields))
+    effects.append(fx.Measure("skylarklug.jobs.ended", 1, {"state": final}))
+    for task in list(job.tasks.values()):
+        drop_ready(shard, task)
+        if task.worker:
+            orders.stop(state, effects, task, f"job {final}")
+        else:
+            forget_task(job, task)
+
+
+def _on_marker(state, effects, name):
+    job = state.shard.jobs.get(name)
+    if job is None:
+        return
+    job.has_marker = True
+    _close(state, effects, job, records.CANCELLED, "cancelled by its client")
+
+
+def forget_closed(state, job):
+    """Drops a job once its final state is saved and nothing of it runs."""
+    if not job.final_saved or job.tasks:
+        return
+    shard = state.shard
+    name = job.spec.job
+    shard.jobs.pop(name, None)
+    shard.dirty.pop(name, None)
+    shard.closed[name] = state.now
+
+
+# --------------------------------------------------------------------- tick
+
+
+def _on_tick(state, event, effects):
+    shard = state.shard
+    if shard is None:
+        return
+    _take_rows(state, effects)
+    _open_due(state, effects)
+    _expire_closed(state, shard)
+
+
+def _expire_closed(state, shard):
+    limit = state.now - state.cfg.status_ms
+    while shard.closed:
+        name, at = next(iter(shard.closed.items()))
+        if at > limit:
+            return
+        del shard.closed[name]
+
+
+HANDLERS = {
+    events.RowsChanged: _on_rows,
+    events.Tick: _on_tick,
+}
--- /dev/null
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -0,0 +1,316 @@
+"""Which node leads: claims, beats, releases."""
+
+from skylarklug.scheduler import effects as fx
+from skylarklug.scheduler import events
+from skylarklug.scheduler import state as state_lib
+from skylarklug.scheduler import store
+
+TABLE = "leadership"
+OWNER = "owner"
+BEAT = "beat"
+ROSTER = "roster"
+
+# A beat is one write and one answer to each node that follows the table.
+BEAT_MS = 700
+# Three beats and the time of one slow store call.
+TAKEOVER_AFTER_MS = 2_400
+# A leader whose commits get no answer goes on for this long, so that tasks
+# outlive a store outage of about ten seconds with their last lease.
+ACT_LIMIT_MS = 6_000
+# Nodes that see the same silence do not claim at the same moment.
+CLAIM_SPREAD_MS = 300
+CLAIM_RETRY_MS = 400
+BEAT_RETRY_MS = 250
+# Rate difference of two clocks, from the platform's protocol.
+CLOCK_DRIFT = 0.02
+LEASE_MARGIN_MS = 500
+
+
+def may_act(state) -> bool:
+    """Whether this node leads and may still send orders."""
+    shard = state.shard
+    if shard is None:
+        return False
+    return state.now - shard.confirmed_at < ACT_LIMIT_MS
+
+
+def owner_check(shard) -> fx.Check:
+    """The condition that every commit of a leader carries."""
+    return fx.Check(TABLE, OWNER, shard.owner_version)
+
+
+def lease_ms(cfg) -> int:
+    """How long a lease may last on our clock after it was sent."""
+    return int(cfg.max_lease_ms * (1 + CLOCK_DRIFT)) + LEASE_MARGIN_MS
+
+
+def confirm(state, answer) -> None:
+    """Notes a successful conditional commit."""
+    shard = state.shard
+    shard.confirmed_at = max(shard.confirmed_at, answer.sent_at)
+
+
+def check_conflict(state, effects, answer) -> bool:
+    """Steps down if a failed condition shows another owner.
+
+    Returns whether this node still leads.
+    """
+    shard = state.shard
+    for row in answer.rows:
+        if row.table != TABLE or row.key != OWNER:
+            continue
+        if row.version != shard.owner_version:
+            if _is_mine(state, row.value):
+                shard.owner_version = row.version
+                continue
+            step_down(state, effects, "another node took over")
+            return False
+    return True
+
+
+def step_down(state, effects, reason):
+    """Drops the books of a leader."""
+    shard = state.shard
+    if shard is None:
+        return
+    state.shard = None
+    for table in ("jobs", "workers"):
+        effects.append(fx.Unfollow(table))
+    fields = {"epoch": shard.epoch, "reason": reason}
+    effects.append(fx.Log("warning", "leadership-lost", fields))
+
+
+def _is_mine(state, owner):
+    return (
+        owner is not None
+        and owner.get("node") == state.cfg.node
+        and owner.get("incarnation") == state.cfg.incarnation
+        and not owner.get("released")
+    )
+
+
+# ------------------------------------------------------------------- claims
+
+
+def _on_rows(state, event, effects):
+    if event.table != TABLE:
+        return
+    state.leadership_read_at = state.now
+    for row in event.rows:
+        if row.key == OWNER and row.version > state.owner_version:
+            state.owner = row.value
+            state.owner_version = row.version
+            state.owner_seen_at = state.now
+            state.claim_at = 0
+            _on_owner(state, effects)
+        elif row.key == BEAT and row.version > state.beat_version:
+            state.beat = row.value or {}
+            state.beat_version = row.version
+            state.owner_seen_at = state.now
+    if event.whole and state.owner is None:
+        state.owner_seen_at = state.now
+
+
+def _on_owner(state, effects):
+    shard = state.shard
+    owner = state.owner
+    if shard is not None:
+        if not _is_mine(state, owner) or owner["epoch"] != shard.epoch:
+            step_down(state, effects, "another node took over")
+        return
+    if _is_mine(state, owner) and state.claiming:
+        # The answer to the claim was lost, or has not arrived yet.
+        return
+
+
+def _is_free(state):
+    """Whether the former leader has surely stopped sending orders.
+
+    A former process of this node has ended, since this one runs.
+    """
+    owner = state.owner
+    if owner is None or owner.get("released"):
+        return True
+    return owner.get("node") == state.cfg.node
+
+
+def _wants_claim(state):
+    if state.stopping_at or state.claiming or state.shard is not None:
+        return False
+    if state.leadership_read_at < 0 or state.configuration is None:
+        return False
+    if state.now < state.claim_at:
+        return False
+    if _is_free(state):
+        return True
+    silent = state.now - state.owner_seen_at
+    if silent < TAKEOVER_AFTER_MS:
+        return False
+    # A node that has not heard from the store cannot tell silence of the
+    # leader from its own.
+    return state.now - state.leadership_read_at < TAKEOVER_AFTER_MS
+
+
+def _claim(state, effects):
+    if not state.claim_at:
+        spread = CLAIM_SPREAD_MS
+        if _is_free(state):
+            spread //= 4
+        state.claim_at = state.now + state.rng.randrange(spread)
+        if state.claim_at > state.now:
+            return
+    state.claiming = True
+    epoch = (state.owner or {}).get("epoch", 0) + 1
+    value = {
+        "node": state.cfg.node,
+        "incarnation": state.cfg.incarnation,
+        "epoch": epoch,
+        "released": False,
+    }
+    former = state.owner
+    planned = _is_free(state)
+
+    def done(state, effects, answer):
+        state.claiming = False
+        state.claim_at = state.now + CLAIM_RETRY_MS
+        if answer.status != "ok":
+            fields = {"epoch": epoch, "status": answer.status}
+            effects.append(fx.Log("info", "claim-failed", fields))
+            return
+        if state.stopping_at or answer.version < state.owner_version:
+            return
+        _lead(state, effects, epoch, answer, value, planned, former is None)
+
+    store.commit(
+        state,
+        effects,
+        [fx.Check(TABLE, OWNER, state.owner_version)],
+        [fx.Write(TABLE, OWNER, value)],
+        done,
+    )
+
+
+def _lead(state, effects, epoch, answer, value, planned, first):
+    shard = state_lib.Shard(epoch, answer.version, answer.sent_at)
+    state.shard = shard
+    state.owner = value
+    state.owner_version = answer.version
+    state.owner_seen_at = state.now
+    wait = lease_ms(state.cfg)
+    if not planned:
+        wait += ACT_LIMIT_MS - TAKEOVER_AFTER_MS
+    shard.settled_at = state.now + wait
+    shard.settled = first
+    fields = {
+        "epoch": epoch,
+        "version": answer.version,
+        "planned": planned,
+        "settled_in_ms": wait,
+    }
+    effects.append(fx.Log("info", "leadership-gained", fields))
+    effects.append(fx.Measure("skylarklug.takeovers", 1, {}))
+    effects.append(fx.Follow("jobs"))
+    effects.append(fx.Follow("workers"))
+    _read_former(state, effects, shard)
+
+
+def _read_former(state, effects, shard):
+    """Reads the progress of all jobs and the workers of former leaders."""
+
+    def on_work(state, effects, answer):
+        if state.shard is not shard:
+            return
+        if answer.status != "ok":
+            store.read(state, effects, "work", "", on_work)
+            return
+        for row in answer.rows:
+            shard.work_rows[row.key] = row
+        shard.loaded.add("work")
+
+    def on_roster(state, effects, answer):
+        if state.shard is not shard:
+            return
+        if answer.status != "ok":
+            store.read(state, effects, TABLE, ROSTER, on_roster)
+            return
+        for row in answer.rows:
+            shard.former = dict(row.value)
+            shard.roster_version = row.version
+        shard.loaded.add("roster")
+
+    store.read(state, effects, "work", "", on_work)
+    store.read(state, effects, TABLE, ROSTER, on_roster)
+
+
+# -------------------------------------------------------------------- beats
+
+
+def _beat(state, effects):
+    shard = state.shard
+    shard.beating = True
+
+    def done(state, effects, answer):
+        if state.shard is not shard:
+            return
+        shard.beating = False
+        if answer.status == "ok":
+            confirm(state, answer)
+            shard.beat_at = answer.sent_at + BEAT_MS
+            return
+        shard.beat_at = state.now + BEAT_RETRY_MS
+        if answer.status == "conflict":
+            check_conflict(state, effects, answer)
+
+    value = {"epoch": shard.epoch, "waiting": _count_waiting(shard)}
+    store.commit(
+        state,
+        effects,
+        [owner_check(shard)],
+        [fx.Write(TABLE, BEAT, value)],
+        done,
+    )
+
+
+def _count_waiting(shard):
+    counts = {}
+    for job in shard.jobs.values():
+        if job.started or job.state == "canceled":
+            continue
+        queue = job.spec.queue
+        counts[queue] = counts.get(queue, 0) + 1
+    return counts
+
+
+def release(state, effects, done):
+    """Gives the leadership up, so that another node claims it at once."""
+    shard = state.shard
+    step_down(state, effects, "released")
+    value = {
+        "node": state.cfg.node,
+        "incarnation": state.cfg.incarnation,
+        "epoch": shard.epoch,
+        "released": True,
+    }
+    store.commit(
+        state,
+        effects,
+        [owner_check(shard)],
+        [fx.Write(TABLE, OWNER, value)],
+        done,
+    )
+
+
+def _on_tick(state, event, effects):
+    shard = state.shard
+    if shard is None:
+        if _wants_claim(state):
+            _claim(state, effects)
+        return
+    if not shard.beating and state.now >= shard.beat_at:
+        _beat(state, effects)
+
+
+HANDLERS = {
+    events.RowsChanged: _on_rows,
+    events.Tick: _on_tick,
+}
--- /dev/null
+++ b/packages/core/src/skylarklug/scheduler/lifecycle.py
@@ -0,0 +1,79 @@
+"""Start, readiness, configuration in force, graceful stop."""
+
+from skylarklug.scheduler import effects as fx
+from skylarklug.scheduler import events
+from skylarklug.scheduler import leadership
+
+# The balancer needs two missed checks, a second apart, to stop sending new
+# connections; then open requests end.
+NOTICE_MS = 2_200
+# Kept back from the grace of a stop for the exit itself.
+EXIT_MARGIN_MS = 700
+
+
+def _on_configuration(state, event, effects):
+    current = state.configuration
+    if current is not None and event.cfg.version <= current.version:
+        return
+    state.configuration = event.cfg
+    fields = {
+        "version": event.cfg.version,
+        "queues": len(event.cfg.queues),
+        "services": len(event.cfg.services),
+    }
+    effects.append(fx.Log("info", "configuration", fields))
+    _update_ready(state, effects)
+
+
+def _update_ready(state, effects):
+    ready = state.configuration is not None and not state.stopping_at
+    if ready == state.ready:
+        return
+    state.ready = ready
+    reason = "configured"
+    if state.stopping_at:
+        reason = "stopping"
+    effects.append(fx.SetReady(ready, reason))
+    effects.append(
+        fx.Log("info", "ready", {"ready": ready, "reason": reason})
+    )
+
+
+def _on_stop(state, event, effects):
+    if state.stopping_at:
+        return
+    state.stopping_at = state.now
+    state.released = True
+    effects.append(fx.Log("info", "stop-requested", {}))
+    _update_ready(state, effects)
+    if state.shard is not None:
+        state.released = False
+
+        def done(state, effects, answer):
+            state.released = True
+            fields = {"status": answer.status}
+            effects.append(fx.Log("info", "leadership-released", fields))
+
+        leadership.release(state, effects, done)
+
+
+def _on_tick(state, event, effects):
+    state.wall_offset = event.wall_ms - event.at
+    if not state.stopping_at:
+        return
+    since = state.now - state.stopping_at
+    if since < NOTICE_MS:
+        return
+    limit = state.cfg.stop_grace_ms - EXIT_MARGIN_MS
+    if since < limit and (state.open_requests or not state.released):
+        return
+    fields = {"open_requests": len(state.open_requests)}
+    effects.append(fx.Log("info", "exit", fields))
+    effects.append(fx.Exit("stopped"))
+
+
+HANDLERS = {
+    events.ConfigurationRead: _on_configuration,
+    events.StopRequested: _on_stop,
+    events.Tick: _on_tick,
+}
--- /dev/null
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -0,0 +1,325 @@
+"""Orders to workers: start, stop, pace, and what becomes of them."""
+
+from skylarklug.scheduler import effects as fx
+from skylarklug.scheduler import events
+from skylarklug.scheduler import jobs
+from skylarklug.scheduler import leadership
+from skylarklug.scheduler import records
+from skylarklug.scheduler import state as state_lib
+
+# An order is answered in a few milliseconds; a worker far away in ten.
+ORDER_TIMEOUT_MS = 400
+ORDER_RETRY_MS = 300
+# Attempts of one epoch never reach those of the next.
+ATTEMPTS_PER_EPOCH = 1_000
+RETRY_PLACEMENT_MS = 100
+REFUSED_REST_MS = 1_000
+# A lasting task that ended is started again at once the first time.
+FAILED_REST_MS = 200
+
+
+def occupy(worker, task):
+    """Counts the task against the worker's room."""
+    worker.runs[task.key] = task
+    task.worker = worker.name
+    need = task.step.need
+    if task.step.fills:
+        worker.fill_cpu += need.cpu
+    else:
+        worker.used[0] += need.cpu
+    worker.used[1] += need.memory_mb
+    worker.used[2] += need.accelerators
+
+
+def vacate(worker, task):
+    """Frees the room of a task whose run has ended."""
+    if worker.runs.pop(task.key, None) is None:
+        return
+    task.worker = ""
+    need = task.step.need
+    if task.step.fills:
+        worker.fill_cpu -= need.cpu
+    else:
+        worker.used[0] -= need.cpu
+    worker.used[1] -= need.memory_mb
+    worker.used[2] -= need.accelerators
+
+
+def next_attempt(shard, task) -> int:
+    """Returns a number above all earlier attempts, also of other leaders."""
+    return max(task.attempt, (shard.epoch - 1) * ATTEMPTS_PER_EPOCH) + 1
+
+
+def start(state, effects, task, worker, attempt, ticket=""):
+    """Orders a worker to start a task."""
+    shard = state.shard
+    task.status = state_lib.STARTING
+    task.attempt = attempt
+    task.confirmed_at = 0
+    task.orders = 0
+    task.percent = 0
+    task.pace = 100
+    task.missing = 0
+    task.progress_at = state.now
+    task.ticket = ticket
+    occupy(worker, task)
+    shard.unsettled[task.key] = task
+    _send_start(state, effects, task, worker)
+    fields = {
+        "task": task.key,
+        "attempt": attempt,
+        "worker": worker.name,
+        "epoch": shard.epoch,
+        "waited_ms": state.now - task.wanted_at,
+        "resumed": bool(task.checkpoint),
+        "free_cpu": worker.entry.room.cpu - worker.used[0],
+        "fill_cpu": worker.fill_cpu,
+        "view_ms": state.now - worker.answered_at,
+    }
+    effects.append(fx.Log("info", "place", fields))
+
+
+def _send_start(state, effects, task, worker):
+    shard = state.shard
+    task.order_at = state.now
+    task.orders += 1
+    worker.granted_at = state.now
+    effects.append(
+        fx.StartRun(
+            worker.name,
+            worker.entry.address,
+            worker.born,
+            shard.epoch,
+            task.key,
+            task.attempt,
+            task.job.spec.payload,
+            task.checkpoint,
+            task.ticket,
+            worker.clock_now(state.now) + state.cfg.max_lease_ms,
+            ORDER_TIMEOUT_MS,
+        )
+    )
+
+
+def stop(state, effects, task, reason):
+    """Orders a worker to stop a run; its end frees the room."""
+    shard = state.shard
+    if task.status == state_lib.STOPPING:
+        return
+    task.status = state_lib.STOPPING
+    task.confirmed_at = 0
+    task.orders = 0
+    shard.unsettled[task.key] = task
+    fields = {
+        "task": task.key,
+        "attempt": task.attempt,
+        "worker": task.worker,
+        "reason": reason,
+    }
+    effects.append(fx.Log("info", "stop", fields))
+    _send_stop(state, effects, task)
+
+
+def _send_stop(state, effects, task):
+    worker = state.shard.workers[task.worker]
+    task.order_at = state.now
+    task.orders += 1
+    effects.append(
+        fx.StopRun(
+            worker.name,
+            worker.entry.address,
+            state.shard.epoch,
+            task.key,
+            task.attempt,
+            ORDER_TIMEOUT_MS,
+        )
+    )
+
+
+def stop_unknown(state, effects, worker, report):
+    """Stops a run that is not in the books, or not the newest one."""
+    fields = {
+        "task": report.key,
+        "attempt": report.attempt,
+        "worker": worker.name,
+        "reason": "not wanted",
+    }
+    effects.append(fx.Log("info", "stop", fields))
+    effects.append(
+        fx.StopRun(
+            worker.name,
+            worker.entry.address,
+            state.shard.epoch,
+            report.key,
+            report.attempt,
+            ORDER_TIMEOUT_MS,
+        )
+    )
+
+
+def pace(state, effects, task, worker, percent):
+    """Sets the share of the processor that a run may use."""
+    task.pace = percent
+    task.paced_at = state.now
+    effects.append(
+        fx.PaceRun(
+            worker.name,
+            worker.entry.address,
+            state.shard.epoch,
+            task.key,
+            task.attempt,
+            percent,
+            ORDER_TIMEOUT_MS,
+        )
+    )
+
+
+def release(state, effects, task, worker, rest_ms=0):
+    """Notes that a run is gone; the task waits again unless it has ended."""
+    shard = state.shard
+    vacate(worker, task)
+    shard.unsettled.pop(task.key, None)
+    shard.place_soon = True
+    job = task.job
+    done = job.done.get((task.key.occurrence, task.key.step), ())
+    if job.state in records.FINAL_STATES or task.key.index in done:
+        jobs.forget_task(job, task)
+        jobs.forget_closed(state, job)
+        return
+    task.status = state_lib.WAITING
+    task.wanted_at = state.now
+    task.not_before = max(task.not_before, state.now + rest_ms)
+    jobs.make_ready(shard, task)
+
+
+# ------------------------------------------------------------------ answers
+
+
+def _on_answer(state, event, effects):
+    shard = state.shard
+    if shard is None or event.key is None:
+        return
+    if event.result == "rejected" and event.reason == "fence":
+        suspect_take_over(state, effects, event.worker)
+        return
+    if event.op == "pace":
+        _on_pace_answer(state, event, effects)
+        return
+    task = shard.unsettled.get(event.key)
+    if task is None or task.worker != event.worker:
+        return
+    if task.attempt != event.attempt:
+        return
+    worker = shard.workers[event.worker]
+    if event.op == "start" and task.status == state_lib.STARTING:
+        _on_start_answer(state, event, effects, task, worker)
+    elif event.op == "stop" and task.status == state_lib.STOPPING:
+        if event.result == "ok":
+            task.confirmed_at = state.now
+
+
+def _on_start_answer(state, event, effects, task, worker):
+    shard = state.shard
+    if event.result == "ok":
+        worker.answered_at = max(worker.answered_at, event.sent_at)
+        task.status = state_lib.WORKING
+        task.confirmed_at = state.now
+        shard.unsettled.pop(task.key, None)
+        mark_started(shard, task.job)
+        return
+    fields = {
+        "task": task.key,
+        "attempt": task.attempt,
+        "worker": worker.name,
+        "result": event.result,
+        "reason": event.reason,
+        "orders": task.orders,
+    }
+    effects.append(fx.Log("warning", "start-failed", fields))
+    effects.append(
+        fx.Measure(
+            "skylarklug.starts.failed",
+            1,
+            {"reason": event.reason or event.result},
+        )
+    )
+    if event.result == "unknown":
+        return
+    if event.result == "refused":
+        # Only the first order proves that nothing runs: an earlier one
+        # without an answer may still be carried out.
+        if task.orders == 1:
+            worker.rest_until = state.now + REFUSED_REST_MS
+            release(state, effects, task, worker, RETRY_PLACEMENT_MS)
+        return
+    if event.result == "rejected":
+        _on_rejected(state, event, effects, task, worker)
+
+
+def _on_rejected(state, event, effects, task, worker):
+    if event.reason == "late":
+        # Carried out past its lease; the next order carries a newer one.
+        return
+    if event.reason == "room":
+        worker.rest_until = state.now + REFUSED_REST_MS
+    if event.reason == "ticket":
+        task.job.tickets.pop((task.key.occurrence, task.key.step), None)
+    if task.orders > 1 and event.reason != "old":
+        # An earlier order of this attempt may still be carried out; stopping
+        # the attempt makes the worker reject it from then on.
+        stop(state, effects, task, f"start rejected: {event.reason}")
+        return
+    release(state, effects, task, worker, RETRY_PLACEMENT_MS)
+
+
+def _on_pace_answer(state, event, effects):
+    job = state.shard.jobs.get(event.key.job)
+    task = None if job is None else job.tasks.get(event.key)
+    if task is None or task.attempt != event.attempt:
+        return
+    if event.result != "ok":
+        # Unknown what the worker uses now: the next round sends it again.
+        task.pace = -1
+
+
+def mark_started(shard, job):
+    """Notes the first start of a job, for clients that ask."""
+    if not job.started:
+        job.started = True
+    if job.state == records.PENDING:
+        job.state = records.RUNNING
+        jobs.mark_dirty(shard, job)
+
+
+def suspect_take_over(state, effects, worker):
+    """Stops acting until the store confirms that this node still leads."""
+    shard = state.shard
+    fields = {"worker": worker, "epoch": shard.epoch}
+    effects.append(fx.Log("warning", "fenced", fields))
+    shard.confirmed_at = state.now - leadership.ACT_LIMIT_MS
+    shard.beat_at = 0
+
+
+# --------------------------------------------------------------------- tick
+
+
+def _on_tick(state, event, effects):
+    if not leadership.may_act(state):
+        return
+    shard = state.shard
+    for task in list(shard.unsettled.values()):
+        if state.now - task.order_at < ORDER_TIMEOUT_MS + ORDER_RETRY_MS:
+            continue
+        worker = shard.workers[task.worker]
+        if not worker.answers(state.now):
+            continue
+        if task.status == state_lib.STARTING:
+            _send_start(state, effects, task, worker)
+        elif not task.confirmed_at:
+            _send_stop(state, effects, task)
+
+
+HANDLERS = {
+    events.OrderAnswered: _on_answer,
+    events.Tick: _on_tick,
+}
--- /dev/null
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -0,0 +1,251 @@
+"""Where waiting tasks start."""
+
+from skylarklug.scheduler import effects as fx
+from skylarklug.scheduler import events
+from skylarklug.scheduler import gangs
+from skylarklug.scheduler import jobs
+from skylarklug.scheduler import leadership
+from skylarklug.scheduler import orders
+from skylarklug.scheduler import records
+from skylarklug.scheduler import state as state_lib
+
+# Passes are at least this far apart, so that a burst shares one.
+PASS_INTERVAL_MS = 20
+# Share of their processor that serving tasks use on average; the rest is
+# what filling tasks get.
+SERVING_USE = 0.55
+# A worker whose serving tasks are near their target takes no filling task.
+HARM_LIMIT = 0.75
+
+
+def _candidates(state, task):
+    """Returns the workers that may run the task, regardless of room."""
+    shard = state.shard
+    step = task.step
+    service = jobs.service_of(state, task.job)
+    found = []
+    for worker in shard.workers.values():
+        entry = worker.entry
+        if entry.service != service or entry.draining or not worker.listed:
+            continue
+        if worker.name not in shard.roster_saved:
+            continue
+        if not worker.answers(state.now) or state.now < worker.rest_until:
+            continue
+        if step.label and step.label not in entry.labels:
+            continue
+        found.append(worker)
+    return found
+
+
+def _has_room(worker, step):
+    need = step.need
+    room = worker.entry.room
+    used = worker.used
+    if used[1] + need.memory_mb > room.memory_mb:
+        return False
+    if used[2] + need.accelerators > room.accelerators:
+        return False
+    if step.fills:
+        return True
+    return used[0] + need.cpu <= room.cpu
+
+
+def _spare_cpu(worker):
+    """Returns the processor that filling tasks still find on a worker."""
+    spare = worker.entry.room.cpu - SERVING_USE * worker.used[0]
+    return spare - worker.fill_cpu
+
+
+def _count_same(worker, task):
+    count = 0
+    for key in worker.runs:
+        if key[:3] == task.key[:3]:
+            count += 1
+    return count
+
+
+def _score(state, worker, task):
+    """Returns a sort key, smallest best, or None when it does not fit."""
+    step = task.step
+    if not _has_room(worker, step):
+        return None
+    if step.max_per_worker:
+        if _count_same(worker, task) >= step.max_per_worker:
+            return None
+    near = 0 if not step.rack or step.rack == worker.entry.rack else 1
+    suspect = worker.faulty_until > state.now or worker.name in task.avoid
+    if step.fills:
+        spare = _spare_cpu(worker)
+        if spare < step.need.cpu // 2 or worker.harm > HARM_LIMIT:
+            return None
+        return (suspect, near, -spare)
+    free = worker.entry.room.cpu - worker.used[0] - step.need.cpu
+    if step.lasting:
+        # Best fit keeps room for the widest tasks.
+        return (suspect, near, free)
+    return (suspect, near, -free)
+
+
+def _choose(state, task, candidates):
+    best = None
+    chosen = None
+    for worker in candidates:
+        score = _score(state, worker, task)
+        if score is None:
+            continue
+        if best is None or score < best:
+            best = score
+            chosen = worker
+    return chosen
+
+
+def _group_order(state, group):
+    task = next(iter(group.values()))
+    job = task.job
+    return (jobs.priority_of(state, job), job.deadline, task.key)
+
+
+def place(state, effects):
+    """Starts what fits, in the order of priority and deadline."""
+    shard = state.shard
+    groups = sorted(
+        shard.ready.values(), key=lambda group: _group_order(state, group)
+    )
+    for group in groups:
+        task = next(iter(group.values()))
+        if not task.job.begun or task.job.state in records.FINAL_STATES:
+            continue
+        if task.step.gang:
+            _place_gang(state, effects, group)
+        else:
+            _place_group(state, effects, group)
+
+
+def _may_start(state, task):
+    if task.not_before > state.now:
+        return False
+    return task.held_until <= state.now
+
+
+def _place_group(state, effects, group):
+    shard = state.shard
+    candidates = None
+    for task in list(group.values()):
+        if not _may_start(state, task):
+            continue
+        if candidates is None:
+            candidates = _candidates(state, task)
+        candidates = _same_rack(task, candidates)
+        worker = _choose(state, task, candidates)
+        if worker is None:
+            return
+        jobs.drop_ready(shard, task)
+        attempt = orders.next_attempt(shard, task)
+        orders.start(state, effects, task, worker, attempt)
+
+
+def _same_rack(task, candidates):
+    """Keeps a step that must share a rack on the rack of its first task."""
+    if not task.step.same_rack:
+        return candidates
+    racks = set()
+    for other in task.job.tasks.values():
+        if other.key[:3] == task.key[:3] and other.worker:
+            racks.add(other.worker)
+    rack = None
+    for worker in candidates:
+        if worker.name in racks:
+            rack = worker.entry.rack
+            break
+    if rack is None:
+        return candidates
+    return [worker for worker in candidates if worker.entry.rack == rack]
+
+
+def _place_gang(state, effects, group):
+    """Starts all members of a gang at once, or none."""
+    shard = state.shard
+    first = next(iter(group.values()))
+    members = gangs.members(first)
+    if len(group) < len(members):
+        return
+    for task in members:
+        if not _may_start(state, task):
+            return
+    candidates = _candidates(state, first)
+    attempt = max(orders.next_attempt(shard, task) for task in members)
+    chosen = []
+    for task in members:
+        worker = _choose(state, task, _same_rack(task, candidates))
+        if worker is None:
+            break
+        orders.occupy(worker, task)
+        chosen.append((task, worker))
+    for task, worker in chosen:
+        orders.vacate(worker, task)
+    if len(chosen) < len(members):
+        return
+    checkpoint = _common_checkpoint(members)
+    for task, worker in chosen:
+        jobs.drop_ready(shard, task)
+        task.checkpoint = checkpoint
+        orders.start(state, effects, task, worker, attempt)
+
+
+def _common_checkpoint(members):
+    """The newest saved progress of any member is valid for all."""
+    newest = max(members, key=lambda task: (task.attempt, task.percent))
+    if newest.checkpoint:
+        return newest.checkpoint
+    for task in members:
+        if task.checkpoint:
+            return task.checkpoint
+    return ""
+
+
+def _drain(state, effects):
+    """Moves lasting tasks away from workers that are leaving."""
+    for worker in state.shard.workers.values():
+        if not worker.entry.draining or not worker.listed:
+            continue
+        if not worker.answers(state.now):
+            continue
+        for task in list(worker.runs.values()):
+            if task.status != state_lib.WORKING or task.step.gang:
+                continue
+            if task.step.lasting or task.step.checkpoints:
+                orders.stop(state, effects, task, "worker is draining")
+
+
+def _on_any(state, event, effects):
+    shard = state.shard
+    if shard is None or not jobs.is_loaded(shard):
+        return
+    if not leadership.may_act(state):
+        return
+    if isinstance(event, events.Tick):
+        _drain(state, effects)
+        if shard.ready:
+            shard.place_soon = True
+    if not shard.place_soon or state.now < shard.place_at:
+        return
+    shard.place_soon = False
+    shard.place_at = state.now + PASS_INTERVAL_MS
+    place(state, effects)
+    effects.append(
+        fx.Measure(
+            "skylarklug.tasks.waiting",
+            sum(len(group) for group in shard.ready.values()),
+            {},
+        )
+    )
+
+
+HANDLERS = {
+    events.Tick: _on_any,
+    events.StoreAnswered: _on_any,
+    events.WorkerLooked: _on_any,
+    events.WorkersRead: _on_any,
+    events.OrderAnswered: _on_any,
+}
--- /dev/null
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -0,0 +1,293 @@
+"""The state of the scheduler on one node. Only handlers change it."""
+
+import random
+from typing import Any
+
+from skylarklug.scheduler import records
+
+WAITING = "waiting"
+STARTING = "starting"
+WORKING = "working"
+STOPPING = "stopping"
+FINISHED = "finished"
+
+# A healthy worker answers a look within its wait and a round trip. One that
+# has been silent for longer gets no lease, so that its tasks can move on.
+SILENCE_MS = 2_000
+
+
+class Task:
+    """One task of a job that this node leads.
+
+    Attributes:
+        status: `WAITING`, `STARTING` (ordered, not confirmed), `WORKING`,
+            `STOPPING` or `FINISHED`.
+        attempt: Number of the newest start.
+        failures: Attempts that ended through the task's or a worker's fault.
+        checkpoint: Newest saved progress; empty for none.
+        not_before: The task is not started earlier than this.
+        held_until: An unseen run of a former leader may last until then.
+        avoid: Workers on which the task failed.
+        order_at: When the newest start or stop was sent.
+        confirmed_at: When the worker first confirmed the run.
+        percent: Progress, as the worker reports it.
+        gauge: Tail in ms, or processor in use.
+        pace: Share of the processor in percent that the worker was told.
+    """
+
+    __slots__ = (
+        "attempt",
+        "avoid",
+        "checkpoint",
+        "confirmed_at",
+        "failures",
+        "gauge",
+        "held_until",
+        "job",
+        "key",
+        "missing",
+        "not_before",
+        "order_at",
+        "orders",
+        "pace",
+        "paced_at",
+        "percent",
+        "progress_at",
+        "status",
+        "step",
+        "ticket",
+        "wanted_at",
+        "worker",
+    )
+
+    def __init__(self, job: "Job", key: records.TaskKey, step: records.Step):
+        self.job = job
+        self.key = key
+        self.step = step
+        self.status = WAITING
+        self.attempt = 0
+        self.failures: set[int] = set()
+        self.ticket = ""
+        self.checkpoint = ""
+        self.worker = ""
+        self.not_before = 0
+        self.held_until = 0
+        self.avoid: set[str] = set()
+        self.order_at = 0
+        self.orders = 0
+        self.confirmed_at = 0
+        self.percent = 0
+        self.progress_at = 0
+        self.gauge = 0.0
+        self.pace = 100
+        self.paced_at = 0
+        self.missing = 0
+        self.wanted_at = 0
+
+
+class Job:
+    """A job that this node leads.
+
+    Attributes:
+        state: The state that clients see once it is committed.
+        version: Version of its `work` row.
+        begun: Whether a committed row says that tasks may have started.
+        left: Unfinished tasks by (occurrence, step).
+        tasks: Tasks that exist so far, by key.
+        opened: Occurrences whose tasks exist.
+        done: Finished indices by (occurrence, step).
+        failures: Failed attempts by task key, of unfinished tasks.
+        has_marker: A row asks for its cancellation.
+    """
+
+    __slots__ = (
+        "begun",
+        "deadline",
+        "done",
+        "failures",
+        "final_saved",
+        "has_marker",
+        "left",
+        "opened",
+        "seen_at",
+        "spec",
+        "started",
+        "state",
+        "tasks",
+        "tickets",
+        "version",
+    )
+
+    def __init__(self, spec: records.JobSpec, version: int, seen_at: int):
+        self.spec = spec
+        self.version = version
+        self.seen_at = seen_at
+        self.state = records.PENDING
+        self.begun = False
+        self.started = False
+        self.final_saved = False
+        self.has_marker = False
+        self.left: dict[tuple[int, int], int] = {}
+        self.tasks: dict[records.TaskKey, Task] = {}
+        self.opened: set[int] = set()
+        self.done: dict[tuple[int, int], set[int]] = {}
+        self.failures: dict[records.TaskKey, set[int]] = {}
+        self.deadline = 0
+        self.tickets: dict[tuple[int, int], Any] = {}
+
+
+class Worker:
+    """A worker as its leader knows it.
+
+    Attributes:
+        listed: Its entry is in the platform's list.
+        fenced: It has answered under this leader's epoch.
+        clock: (worker's clock ms, our clock ms) at its newest answer.
+        runs: Tasks that run or may run there, by key.
+        used: What those tasks count against the room.
+        fill_cpu: Processor that the filling tasks there ask for.
+        acknowledged: Highest end that it may forget.
+        unsaved: Ends that are not committed yet: number to job.
+        granted_at: When the newest order that renews its lease was sent.
+        answered_at: When it last answered.
+        blame: Recent failed ends there, of different jobs.
+    """
+
+    __slots__ = (
+        "acknowledged",
+        "answered_at",
+        "blame",
+        "born",
+        "clock",
+        "entry",
+        "faulty_until",
+        "fenced",
+        "fill_cpu",
+        "fill_paced_at",
+        "granted_at",
+        "harm",
+        "highest_end",
+        "listed",
+        "look_at",
+        "looking",
+        "name",
+        "rest_until",
+        "runs",
+        "unsaved",
+        "used",
+    )
+
+    def __init__(self, entry: records.WorkerEntry):
+        self.entry = entry
+        self.name = entry.worker
+        self.listed = True
+        self.fenced = False
+        self.born = 0
+        self.clock = (0, 0)
+        self.runs: dict[records.TaskKey, Task] = {}
+        self.used = [0, 0, 0]
+        self.fill_cpu = 0
+        self.harm = 0.0
+        self.fill_paced_at = 0
+        self.acknowledged = 0
+        self.highest_end = 0
+        self.unsaved: dict[int, str] = {}
+        self.granted_at = 0
+        self.answered_at = 0
+        self.looking = False
+        self.look_at = 0
+        self.blame: dict[str, int] = {}
+        self.faulty_until = 0
+        self.rest_until = 0
+
+    def answers(self, now: int) -> bool:
+        """Whether it has answered lately under this leader's epoch."""
+        return self.fenced and now - self.answered_at < SILENCE_MS
+
+    def clock_now(self, now: int) -> int:
+        """Returns an estimate of the worker's clock."""
+        clock, at = self.clock
+        return clock + now - at
+
+
+class Shard:
+    """The books of a leader. A new leader begins with empty ones.
+
+    Attributes:
+        epoch: Fencing token of this leadership.
+        owner_version: Version of the `owner` row, checked by each commit.
+        confirmed_at: When the newest successful commit was sent.
+        settled_at: When unseen runs of former leaders have surely ended.
+        loaded: Tables that have been read whole.
+        dirty: Jobs whose `work` row must be written.
+        saving: Jobs in the commit in flight.
+    """
+
+    def __init__(self, epoch: int, owner_version: int, now: int):
+        self.epoch = epoch
+        self.owner_version = owner_version
+        self.confirmed_at = now
+        self.settled_at = 0
+        self.settled = False
+        self.loaded: set[str] = set()
+        self.jobs: dict[str, Job] = {}
+        self.closed: dict[str, int] = {}
+        self.workers: dict[str, Worker] = {}
+        self.dirty: dict[str, None] = {}
+        self.saving: frozenset[str] = frozenset()
+        self.save_at = 0
+        self.ready: dict[tuple, dict[records.TaskKey, Task]] = {}
+        self.due: list[tuple[int, str, int]] = []
+        self.unsettled: dict[records.TaskKey, Task] = {}
+        self.job_rows: list[Any] = []
+        self.place_soon = False
+        self.place_at = 0
+        self.work_rows: dict[str, Any] = {}
+        self.roster: set[str] = set()
+        self.roster_saved: set[str] = set()
+        self.roster_saving = False
+        self.roster_at = 0
+        self.roster_version = 0
+        self.former: dict[str, Any] = {}
+        self.beating = False
+        self.beat_at = 0
+
+
+class State:
+    """Everything that the decisions of one node depend on."""
+
+    def __init__(self, cfg: records.Settings, seed: int):
+        self.cfg = cfg
+        self.rng = random.Random(seed)
+        self.now = 0
+        self.wall_offset = 0
+        self.configuration: records.Configuration | None = None
+        self.waves: dict[int, records.Wave] = {}
+        self.ready = False
+        self.stopping_at = 0
+        self.released = False
+        self.open_requests: dict[str, int] = {}
+        self.operations: dict[str, Any] = {}
+        self.last_operation = 0
+        # Leadership as this node sees it.
+        self.owner: Any = None
+        self.owner_version = 0
+        self.owner_seen_at = 0
+        self.leadership_read_at = -1
+        self.beat: Any = {}
+        self.beat_version = 0
+        self.claiming = False
+        self.claim_at = 0
+        self.shard: Shard | None = None
+
+    @property
+    def wall_ms(self) -> int:
+        """The time of day in Unix milliseconds."""
+        return self.now + self.wall_offset
+
+    def new_operation(self, done) -> str:
+        """Registers what to call with the answer of a store call."""
+        self.last_operation += 1
+        op = str(self.last_operation)
+        self.operations[op] = done
+        return op
--- /dev/null
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -0,0 +1,414 @@
+"""Workers at their leader: entries, looks, leases, and what runs there."""
+
+from skylarklug.scheduler import effects as fx
+from skylarklug.scheduler import ends
+from skylarklug.scheduler import events
+from skylarklug.scheduler import gangs
+from skylarklug.scheduler import jobs
+from skylarklug.scheduler import leadership
+from skylarklug.scheduler import orders
+from skylarklug.scheduler import pacing
+from skylarklug.scheduler import records
+from skylarklug.scheduler import state as state_lib
+from skylarklug.scheduler import store
+
+# A look returns at an end, or after this time; leases and measurements are
+# never older. It is a third of the time that a lease may last.
+LOOK_WAIT_MS = 1_000
+LOOK_TIMEOUT_MS = 600
+# Ends of several tasks within this time come back in one answer.
+LOOK_PAUSE_MS = 30
+LOOK_RETRY_MS = 300
+# With ends that the store has not taken yet a look returns at once.
+UNSAVED_LOOK_MS = 400
+# A run that two looks in a row do not list has ended unseen.
+MISSING_LOOKS = 2
+ROSTER_RETRY_MS = 200
+
+
+# ------------------------------------------------------------------ entries
+
+
+def _on_entries(state, event, effects):
+    shard = state.shard
+    if shard is None:
+        return
+    present = set()
+    for entry in event.entries:
+        present.add(entry.worker)
+        _update(state, effects, entry)
+    if event.whole:
+        for worker in list(shard.workers.values()):
+            if worker.name not in present:
+                _unlist(state, effects, worker)
+        shard.loaded.add("workers")
+    for name in event.removed:
+        if name in shard.workers:
+            _unlist(state, effects, shard.workers[name])
+
+
+def _update(state, effects, entry):
+    shard = state.shard
+    worker = shard.workers.get(entry.worker)
+    if worker is None:
+        worker = state_lib.Worker(entry)
+        shard.workers[entry.worker] = worker
+        _log_worker(state, effects, worker, "listed")
+    if entry.draining and not worker.entry.draining:
+        _log_worker(state, effects, worker, "draining")
+    worker.entry = entry
+    worker.listed = True
+    shard.place_soon = True
+    if entry.born > worker.born:
+        _on_new_life(state, effects, worker, entry.born)
+
+
+def _unlist(state, effects, worker):
+    if worker.listed:
+        worker.listed = False
+        _log_worker(state, effects, worker, "unlisted")
+
+
+def _log_worker(state, effects, worker, what):
+    fields = {
+        "worker": worker.name,
+        "change": what,
+        "runs": len(worker.runs),
+        "silent_ms": state.now - worker.answered_at,
+    }
+    effects.append(fx.Log("info", "worker", fields))
+
+
+def _on_new_life(state, effects, worker, born):
+    """The worker has started again: nothing of before runs there."""
+    if worker.born:
+        _log_worker(state, effects, worker, "reborn")
+        _lose_runs(state, effects, worker, "reborn")
+    worker.born = born
+    worker.fenced = False
+    worker.clock = (0, 0)
+    worker.acknowledged = 0
+    worker.highest_end = 0
+    worker.unsaved.clear()
+    worker.look_at = 0
+
+
+def _lose_runs(state, effects, worker, reason):
+    for task in list(worker.runs.values()):
+        fields = {
+            "task": task.key,
+            "attempt": task.attempt,
+            "worker": worker.name,
+            "reason": reason,
+            "checkpoint": bool(task.checkpoint),
+        }
+        effects.append(fx.Log("warning", "run-lost", fields))
+        orders.release(state, effects, task, worker)
+        gangs.break_up(state, effects, task, "a member was lost")
+
+
+# -------------------------------------------------------------------- looks
+
+
+def _look(state, effects, worker):
+    worker.looking = True
+    lease_until = 0
+    wait_ms = 0
+    if worker.answers(state.now):
+        lease_until = worker.clock_now(state.now) + state.cfg.max_lease_ms
+        worker.granted_at = state.now
+        if not worker.unsaved:
+            wait_ms = LOOK_WAIT_MS
+    effects.append(
+        fx.Look(
+            worker.name,
+            worker.entry.address,
+            state.shard.epoch,
+            worker.acknowledged,
+            lease_until,
+            wait_ms,
+            wait_ms + LOOK_TIMEOUT_MS,
+        )
+    )
+
+
+def _on_looked(state, event, effects):
+    shard = state.shard
+    if shard is None:
+        return
+    worker = shard.workers.get(event.worker)
+    if worker is None:
+        return
+    worker.looking = False
+    if event.born < worker.born:
+        worker.look_at = state.now + LOOK_RETRY_MS
+        return
+    if event.born > worker.born:
+        _on_new_life(state, effects, worker, event.born)
+    first = not worker.fenced
+    worker.fenced = True
+    worker.clock = (event.clock_ms, state.now)
+    worker.answered_at = state.now
+    for report in event.ended:
+        if report.number <= worker.highest_end:
+            continue
+        worker.highest_end = report.number
+        unsaved = ends.take(state, effects, worker, report)
+        if unsaved:
+            worker.unsaved[report.number] = unsaved
+    acknowledge(worker)
+    _reconcile(state, effects, worker, event)
+    pacing.adjust(state, effects, worker)
+    if first:
+        _log_worker(state, effects, worker, "fenced")
+        shard.place_soon = True
+        worker.look_at = state.now
+    elif worker.unsaved:
+        worker.look_at = state.now + UNSAVED_LOOK_MS
+    else:
+        worker.look_at = state.now + LOOK_PAUSE_MS
+
+
+def acknowledge(worker):
+    """Raises what the worker may forget to the newest saved end."""
+    if worker.unsaved:
+        worker.acknowledged = min(worker.unsaved) - 1
+    else:
+        worker.acknowledged = worker.highest_end
+
+
+def saved(state, names):
+    """Notes that the rows of these jobs have been committed."""
+    for worker in state.shard.workers.values():
+        if not worker.unsaved:
+            continue
+        for number, job in list(worker.unsaved.items()):
+            if job in names:
+                del worker.unsaved[number]
+        acknowledge(worker)
+        if not worker.unsaved and not worker.looking:
+            worker.look_at = state.now
+
+
+def _reconcile(state, effects, worker, event):
+    """Compares the runs that a worker lists with the books."""
+    listed = set()
+    for report in event.running:
+        task = worker.runs.get(report.key)
+        if task is None or task.attempt != report.attempt:
+            if _adopt(state, effects, worker, report):
+                listed.add(report.key)
+            continue
+        listed.add(report.key)
+        _update_run(state, task, report)
+    for key, task in list(worker.runs.items()):
+        if key in listed:
+            task.missing = 0
+            continue
+        _on_unlisted(state, effects, worker, task, event.sent_at)
+
+
+def _update_run(state, task, report):
+    shard = state.shard
+    if task.status == state_lib.STARTING:
+        task.status = state_lib.WORKING
+        task.confirmed_at = state.now
+        shard.unsettled.pop(task.key, None)
+        orders.mark_started(shard, task.job)
+    if report.checkpoint:
+        task.checkpoint = report.checkpoint
+    if report.percent != task.percent:
+        task.percent = report.percent
+        task.progress_at = state.now
+    task.gauge = report.gauge
+
+
+def _adopt(state, effects, worker, report):
+    """Takes a run of a former leader into the books, or stops it."""
+    shard = state.shard
+    job = shard.jobs.get(report.key.job)
+    task = None if job is None else job.tasks.get(report.key)
+    if task is not None and not task.worker:
+        if report.attempt > task.attempt:
+            jobs.drop_ready(shard, task)
+            task.attempt = report.attempt
+            orders.occupy(worker, task)
+            task.status = state_lib.WORKING
+            task.confirmed_at = state.now
+            task.held_until = 0
+            _update_run(state, task, report)
+            orders.mark_started(shard, job)
+            return True
+    if task is not None and task.worker and task.attempt == report.attempt:
+        # A gang member or a copy cannot share task and attempt: this is the
+        # same order, seen before its worker changed address.
+        return False
+    orders.stop_unknown(state, effects, worker, report)
+    return False
+
+
+def _on_unlisted(state, effects, worker, task, sent_at):
+    if task.status == state_lib.STARTING:
+        return
+    if not task.confirmed_at or sent_at < task.confirmed_at:
+        return
+    task.missing += 1
+    if task.missing < MISSING_LOOKS:
+        return
+    fields = {
+        "task": task.key,
+        "attempt": task.attempt,
+        "worker": worker.name,
+        "reason": "not listed by its worker",
+    }
+    effects.append(fx.Log("warning", "run-lost", fields))
+    orders.release(state, effects, task, worker)
+    gangs.break_up(state, effects, task, "a member was lost")
+
+
+def _on_look_failed(state, event, effects):
+    if event.op != "look" or state.shard is None:
+        return
+    worker = state.shard.workers.get(event.worker)
+    if worker is None:
+        return
+    worker.looking = False
+    worker.look_at = state.now + LOOK_RETRY_MS
+    fields = {
+        "worker": worker.name,
+        "result": event.result,
+        "reason": event.reason,
+        "silent_ms": state.now - worker.answered_at,
+    }
+    effects.append(fx.Log("warning", "look-failed", fields))
+    if event.reason == "fence":
+        orders.suspect_take_over(state, effects, worker.name)
+
+
+# --------------------------------------------------------------------- tick
+
+
+def _on_tick(state, event, effects):
+    shard = state.shard
+    if shard is None or not jobs.is_loaded(shard):
+        return
+    if "workers" not in shard.loaded:
+        return
+    _add_former(state)
+    if not leadership.may_act(state):
+        return
+    silence = leadership.lease_ms(state.cfg)
+    for worker in list(shard.workers.values()):
+        if not worker.looking and state.now >= worker.look_at:
+            _look(state, effects, worker)
+        alive_at = max(worker.granted_at, worker.answered_at)
+        if state.now - alive_at < silence:
+            continue
+        if worker.runs:
+            _lose_runs(state, effects, worker, "lease ended")
+        if not worker.listed and worker.name not in shard.former:
+            del shard.workers[worker.name]
+    _save_roster(state, effects)
+    if not shard.settled:
+        _settle(state, effects)
+
+
+def _add_former(state):
+    """Adds workers that former leaders used and that are not listed now."""
+    shard = state.shard
+    for name, (address, service, zone) in shard.former.items():
+        if name in shard.workers:
+            continue
+        entry = records.WorkerEntry(
+            worker=name,
+            service=service,
+            address=address,
+            zone=zone,
+            draining=True,
+            remaining_ms=-1,
+            room=records.Resources(0, 0, 0),
+            labels=(),
+            rack="",
+            born=0,
+        )
+        worker = state_lib.Worker(entry)
+        worker.listed = False
+        shard.workers[name] = worker
+
+
+def _settle(state, effects):
+    """Ends the wait for runs that no worker has reported."""
+    shard = state.shard
+    missing = []
+    for name in shard.former:
+        worker = shard.workers.get(name)
+        if worker is not None and not worker.fenced:
+            missing.append(name)
+    if missing and state.now < shard.settled_at:
+        return
+    shard.settled = True
+    shard.former = {}
+    for group in shard.ready.values():
+        for task in group.values():
+            task.held_until = 0
+    for job in shard.jobs.values():
+        for task in job.tasks.values():
+            task.held_until = 0
+    shard.place_soon = True
+    fields = {"epoch": shard.epoch, "unreached": missing}
+    effects.append(fx.Log("info", "settled", fields))
+
+
+def _save_roster(state, effects):
+    """Writes the workers that orders may go to, before the first order."""
+    shard = state.shard
+    names = set(shard.workers)
+    if names <= shard.roster_saved or shard.roster_saving:
+        return
+    if state.now < shard.roster_at:
+        return
+    shard.roster_saving = True
+    value = {}
+    for worker in shard.workers.values():
+        entry = worker.entry
+        value[worker.name] = [entry.address, entry.service, entry.zone]
+
+    def done(state, effects, answer):
+        if state.shard is not shard:
+            return
+        shard.roster_saving = False
+        if answer.status == "ok":
+            leadership.confirm(state, answer)
+            shard.roster_version = answer.version
+            shard.roster_saved = names
+            shard.place_soon = True
+            return
+        shard.roster_at = state.now + ROSTER_RETRY_MS
+        if answer.status != "conflict":
+            return
+        if not leadership.check_conflict(state, effects, answer):
+            return
+        for row in answer.rows:
+            if row.key == leadership.ROSTER:
+                shard.roster_version = row.version
+
+    store.commit(
+        state,
+        effects,
+        [
+            leadership.owner_check(shard),
+            fx.Check(
+                leadership.TABLE, leadership.ROSTER, shard.roster_version
+            ),
+        ],
+        [fx.Write(leadership.TABLE, leadership.ROSTER, value)],
+        done,
+    )
+
+
+HANDLERS = {
+    events.WorkersRead: _on_entries,
+    events.WorkerLooked: _on_looked,
+    events.OrderAnswered: _on_look_failed,
+    events.Tick: _on_tick,
+}
