Learn which images disturb which, and place filling tasks by it

The tails show a sparse matrix: one or two images that fill disturb an image that serves, ten- to eightyfold per share of the machine; the rest nothing. Judging by the target alone blamed the serving job's own load; judging against the job's other tasks separates the two (they differ by a tenth). Ruled out: pacing (late batch), counting a tail above its target as proof.

--- a/packages/core/src/skylarklug/scheduler/ends.py
+++ b/packages/core/src/skylarklug/scheduler/ends.py
@@ -2,6 +2,7 @@
 
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import gangs
+from skylarklug.scheduler import interference
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import orders
 from skylarklug.scheduler import records
@@ -23,7 +24,7 @@
     job = shard.jobs.get(key.job)
     task = None if job is None else job.tasks.get(key)
     fields = {
-        "task": key,
+        "task": str(key),
         "attempt": report.attempt,
         "worker": worker.name,
         "how": report.how,
@@ -49,6 +50,7 @@
     worker.blame.clear()
     if ours:
         orders.vacate(worker, task)
+        interference.note_departure(state, worker, task)
         state.shard.unsettled.pop(task.key, None)
         state.shard.place_soon = True
     job = task.job
--- a/packages/core/src/skylarklug/scheduler/intake.py
+++ b/packages/core/src/skylarklug/scheduler/intake.py
@@ -127,6 +127,10 @@
         return
     queue, job = resolved
     if not job:
+        if state.leadership_read_at < 0:
+            reason = "queue lengths are not known yet"
+            _refuse(state, effects, event.req, 503, "", reason)
+            return
         waiting = state.beat.get("waiting", {}).get(queue.name, 0)
         _answer(state, effects, event.req, 200, {"waiting": waiting})
         return
--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -7,6 +7,7 @@
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import intake
+from skylarklug.scheduler import leadership
 from skylarklug.scheduler import orders
 from skylarklug.scheduler import records
 from skylarklug.scheduler import state as state_lib
@@ -16,12 +17,11 @@
 BEGIN_AHEAD_MS = 1_000
 # Starts are this much late on purpose, because clocks differ a little.
 DUE_MARGIN_MS = 30
-NEEDED_TABLES = frozenset({"jobs", "work", "roster"})
 
 
 def is_loaded(shard) -> bool:
     """Whether the books hold all that former leaders left."""
-    return NEEDED_TABLES <= shard.loaded
+    return leadership.NEEDED_TABLES <= shard.loaded
 
 
 def queue_of(state, job) -> records.Queue | None:
@@ -118,7 +118,7 @@
 def _restore(job, work):
     job.state = work["state"]
     job.begun = bool(work.get("epoch"))
-    job.started = job.begun
+    job.started = job.state != records.PENDING
     for name, bits in work.get("done", {}).items():
         occurrence, step = name.split(".")
         indices = codec.unpack_indices(bits)
--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -24,6 +24,8 @@
 # Rate difference of two clocks, from the platform's protocol.
 CLOCK_DRIFT = 0.02
 LEASE_MARGIN_MS = 500
+# What a leader reads before its books are complete.
+NEEDED_TABLES = frozenset({"jobs", "work", "roster"})
 
 
 def may_act(state) -> bool:
@@ -261,7 +263,10 @@
         if answer.status == "conflict":
             check_conflict(state, effects, answer)
 
-    value = {"epoch": shard.epoch, "waiting": _count_waiting(shard)}
+    waiting = state.beat.get("waiting", {})
+    if NEEDED_TABLES <= shard.loaded:
+        waiting = _count_waiting(shard)
+    value = {"epoch": shard.epoch, "waiting": waiting}
     store.commit(
         state,
         effects,
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -2,6 +2,7 @@
 
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
+from skylarklug.scheduler import interference
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
 from skylarklug.scheduler import records
@@ -66,7 +67,7 @@
     shard.unsettled[task.key] = task
     _send_start(state, effects, task, worker)
     fields = {
-        "task": task.key,
+        "task": str(task.key),
         "attempt": attempt,
         "worker": worker.name,
         "epoch": shard.epoch,
@@ -111,7 +112,7 @@
     task.orders = 0
     shard.unsettled[task.key] = task
     fields = {
-        "task": task.key,
+        "task": str(task.key),
         "attempt": task.attempt,
         "worker": task.worker,
         "reason": reason,
@@ -139,7 +140,7 @@
 def stop_unknown(state, effects, worker, report):
     """Stops a run that is not in the books, or not the newest one."""
     fields = {
-        "task": report.key,
+        "task": str(report.key),
         "attempt": report.attempt,
         "worker": worker.name,
         "reason": "not wanted",
@@ -178,6 +179,7 @@
     """Notes that a run is gone; the task waits again unless it has ended."""
     shard = state.shard
     vacate(worker, task)
+    interference.note_departure(state, worker, task)
     shard.unsettled.pop(task.key, None)
     shard.place_soon = True
     job = task.job
@@ -228,7 +230,7 @@
         mark_started(shard, task.job)
         return
     fields = {
-        "task": task.key,
+        "task": str(task.key),
         "attempt": task.attempt,
         "worker": worker.name,
         "result": event.result,
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -3,6 +3,7 @@
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import gangs
+from skylarklug.scheduler import interference
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
 from skylarklug.scheduler import orders
@@ -14,8 +15,16 @@
 # Share of their processor that serving tasks use on average; the rest is
 # what filling tasks get.
 SERVING_USE = 0.55
-# A worker whose serving tasks are near their target takes no filling task.
-HARM_LIMIT = 0.75
+# Short tasks that claim processor earn several times what lasting ones earn
+# for the same processor, and come in groups. While there are such tasks,
+# lasting ones leave this share of each worker to them.
+SHORT_RESERVE = 0.08
+SHORT_MEMORY_MS = 30_000
+# A lasting task may be without a run for three seconds while there is room.
+LASTING_WAIT_MS = 2_000
+# A worker where a filling task more likely than this disturbs a serving one
+# is not used for it.
+RISK_LIMIT = 0.75
 
 
 def _candidates(state, task):
@@ -77,14 +86,27 @@
     suspect = worker.faulty_until > state.now or worker.name in task.avoid
     if step.fills:
         spare = _spare_cpu(worker)
-        if spare < step.need.cpu // 2 or worker.harm > HARM_LIMIT:
+        if spare < step.need.cpu // 2:
             return None
-        return (suspect, near, -spare)
-    free = worker.entry.room.cpu - worker.used[0] - step.need.cpu
+        risk = interference.risk(state.shard, worker, step.image)
+        if risk > RISK_LIMIT:
+            return None
+        return (suspect, near, round(risk, 1), -spare)
+    room = worker.entry.room.cpu
+    free = room - worker.used[0] - step.need.cpu
     if step.lasting:
-        # Best fit keeps room for the widest tasks.
-        return (suspect, near, free)
-    return (suspect, near, -free)
+        waited = state.now - task.wanted_at
+        if state.now < state.shard.short_until and waited < LASTING_WAIT_MS:
+            if free < SHORT_RESERVE * room:
+                return None
+        # Images that serve together leave more workers where an image that
+        # fills disturbs nobody. The tasks of a job stay apart, so that a
+        # worker's loss costs little and their tails can be compared.
+        same = _count_same(worker, task)
+        strange = interference.count_other_images(worker, step.image)
+        return (suspect, near, same, strange, free)
+    # Best fit keeps room for the widest tasks.
+    return (suspect, near, free)
 
 
 def _choose(state, task, candidates):
@@ -131,6 +153,9 @@
 def _place_group(state, effects, group):
     shard = state.shard
     candidates = None
+    step = next(iter(group.values())).step
+    if not step.lasting and not step.fills:
+        shard.short_until = state.now + SHORT_MEMORY_MS
     for task in list(group.values()):
         if not _may_start(state, task):
             continue
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -42,6 +42,7 @@
         "confirmed_at",
         "failures",
         "gauge",
+        "gauge_at",
         "held_until",
         "job",
         "key",
@@ -79,6 +80,7 @@
         self.percent = 0
         self.progress_at = 0
         self.gauge = 0.0
+        self.gauge_at = 0
         self.pace = 100
         self.paced_at = 0
         self.missing = 0
@@ -159,14 +161,15 @@
         "blame",
         "born",
         "clock",
+        "departed",
+        "disturbed_since",
         "entry",
         "faulty_until",
         "fenced",
         "fill_cpu",
-        "fill_paced_at",
         "granted_at",
-        "harm",
         "highest_end",
+        "judged_at",
         "listed",
         "look_at",
         "looking",
@@ -187,8 +190,9 @@
         self.runs: dict[records.TaskKey, Task] = {}
         self.used = [0, 0, 0]
         self.fill_cpu = 0
-        self.harm = 0.0
-        self.fill_paced_at = 0
+        self.judged_at = 0
+        self.disturbed_since = 0
+        self.departed: dict[str, int] = {}
         self.acknowledged = 0
         self.highest_end = 0
         self.unsaved: dict[int, str] = {}
@@ -221,6 +225,8 @@
         loaded: Tables that have been read whole.
         dirty: Jobs whose `work` row must be written.
         saving: Jobs in the commit in flight.
+        pairs: How likely tasks of one image disturb those of another, by
+            (image that serves, image that fills).
     """
 
     def __init__(self, epoch: int, owner_version: int, now: int):
@@ -242,6 +248,7 @@
         self.job_rows: list[Any] = []
         self.place_soon = False
         self.place_at = 0
+        self.short_until = 0
         self.work_rows: dict[str, Any] = {}
         self.roster: set[str] = set()
         self.roster_saved: set[str] = set()
@@ -249,6 +256,7 @@
         self.roster_at = 0
         self.roster_version = 0
         self.former: dict[str, Any] = {}
+        self.pairs: dict[tuple[str, str], float] = {}
         self.beating = False
         self.beat_at = 0
 
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -4,10 +4,10 @@
 from skylarklug.scheduler import ends
 from skylarklug.scheduler import events
 from skylarklug.scheduler import gangs
+from skylarklug.scheduler import interference
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
 from skylarklug.scheduler import orders
-from skylarklug.scheduler import pacing
 from skylarklug.scheduler import records
 from skylarklug.scheduler import state as state_lib
 from skylarklug.scheduler import store
@@ -96,7 +96,7 @@
 def _lose_runs(state, effects, worker, reason):
     for task in list(worker.runs.values()):
         fields = {
-            "task": task.key,
+            "task": str(task.key),
             "attempt": task.attempt,
             "worker": worker.name,
             "reason": reason,
@@ -158,7 +158,7 @@
             worker.unsaved[report.number] = unsaved
     acknowledge(worker)
     _reconcile(state, effects, worker, event)
-    pacing.adjust(state, effects, worker)
+    interference.judge(state, effects, worker)
     if first:
         _log_worker(state, effects, worker, "fenced")
         shard.place_soon = True
@@ -221,6 +221,7 @@
         task.percent = report.percent
         task.progress_at = state.now
     task.gauge = report.gauge
+    task.gauge_at = state.now
 
 
 def _adopt(state, effects, worker, report):
@@ -256,7 +257,7 @@
     if task.missing < MISSING_LOOKS:
         return
     fields = {
-        "task": task.key,
+        "task": str(task.key),
         "attempt": task.attempt,
         "worker": worker.name,
         "reason": "not listed by its worker",
