Test images in groups against the load that a tail stands for

Cause: the first group tests judged tails by ratio; at high load of a job's own a small lag looked like a disturbance, and pairs once blamed were never tried again. Now a tail is read as a queue's load, tests need a load at which a disturbance shows, beliefs return to the prior, doubtful images are tried one at a time, and short tasks keep a reserve that lasting tasks take only when they would fit twice.

--- a/packages/core/src/skylarklug/scheduler/ends.py
+++ b/packages/core/src/skylarklug/scheduler/ends.py
@@ -50,7 +50,7 @@
     worker.blame.clear()
     if ours:
         orders.vacate(worker, task)
-        interference.note_departure(state, worker, task)
+        interference.note_change(state, worker, task)
         state.shard.unsettled.pop(task.key, None)
         state.shard.place_soon = True
     job = task.job
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -64,6 +64,7 @@
     task.progress_at = state.now
     task.ticket = ticket
     occupy(worker, task)
+    interference.note_change(state, worker, task)
     shard.unsettled[task.key] = task
     _send_start(state, effects, task, worker)
     fields = {
@@ -179,7 +180,7 @@
     """Notes that a run is gone; the task waits again unless it has ended."""
     shard = state.shard
     vacate(worker, task)
-    interference.note_departure(state, worker, task)
+    interference.note_change(state, worker, task)
     shard.unsettled.pop(task.key, None)
     shard.place_soon = True
     job = task.job
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -12,9 +12,9 @@
 
 # Passes are at least this far apart, so that a burst shares one.
 PASS_INTERVAL_MS = 20
-# Share of their processor that serving tasks use on average; the rest is
-# what filling tasks get.
-SERVING_USE = 0.55
+# Share of their processor that tasks which claim it use on average; the rest
+# is offered to filling tasks. More of these disturb more than they gain.
+CLAIMED_USE = 0.55
 # Short tasks that claim processor earn several times what lasting ones earn
 # for the same processor, and come in groups. While there are such tasks,
 # lasting ones leave this share of each worker to them.
@@ -22,9 +22,13 @@
 SHORT_MEMORY_MS = 30_000
 # A lasting task may be without a run for three seconds while there is room.
 LASTING_WAIT_MS = 2_000
+# A job that is later than this many times its objective earns nothing; it
+# still runs, behind those that do.
+LATE_FACTOR = 3
 # A worker where a filling task more likely than this disturbs a serving one
-# is not used for it.
-RISK_LIMIT = 0.75
+# is not used for it; above the second figure, for one trial at a time.
+RISK_LIMIT = 0.55
+TRIAL_RISK = 0.25
 
 
 def _candidates(state, task):
@@ -62,7 +66,7 @@
 
 def _spare_cpu(worker):
     """Returns the processor that filling tasks still find on a worker."""
-    spare = worker.entry.room.cpu - SERVING_USE * worker.used[0]
+    spare = worker.entry.room.cpu - CLAIMED_USE * worker.used[0]
     return spare - worker.fill_cpu
 
 
@@ -74,7 +78,25 @@
     return count
 
 
-def _score(state, worker, task):
+def _keeps_reserve(state, task, candidates):
+    """Whether a lasting task leaves the reserve of short tasks alone.
+
+    It does not once it has waited and would fit twice: the platform takes
+    that for a task that was forgotten.
+    """
+    if not task.step.lasting or state.now >= state.shard.short_until:
+        return False
+    if state.now - task.wanted_at < LASTING_WAIT_MS:
+        return True
+    fits = 0
+    for worker in candidates:
+        if _has_room(worker, task.step):
+            free = worker.entry.room.cpu - worker.used[0]
+            fits += max(1, free // max(1, task.step.need.cpu))
+    return fits < 2
+
+
+def _score(state, worker, task, reserve):
     """Returns a sort key, smallest best, or None when it does not fit."""
     step = task.step
     if not _has_room(worker, step):
@@ -88,17 +110,18 @@
         spare = _spare_cpu(worker)
         if spare < step.need.cpu // 2:
             return None
-        risk = interference.risk(state.shard, worker, step.image)
-        if risk > RISK_LIMIT:
+        worst, risk = interference.risk(state, worker, step.image)
+        if worst > RISK_LIMIT:
             return None
-        return (suspect, near, round(risk, 1), -spare)
+        if worst > TRIAL_RISK:
+            if not interference.may_try(state, step.image):
+                return None
+        return (suspect, near, worst > TRIAL_RISK, round(risk, 1), -spare)
     room = worker.entry.room.cpu
     free = room - worker.used[0] - step.need.cpu
     if step.lasting:
-        waited = state.now - task.wanted_at
-        if state.now < state.shard.short_until and waited < LASTING_WAIT_MS:
-            if free < SHORT_RESERVE * room:
-                return None
+        if reserve and free < SHORT_RESERVE * room:
+            return None
         # Images that serve together leave more workers where an image that
         # fills disturbs nobody. The tasks of a job stay apart, so that a
         # worker's loss costs little and their tails can be compared.
@@ -112,8 +135,9 @@
 def _choose(state, task, candidates):
     best = None
     chosen = None
+    reserve = _keeps_reserve(state, task, candidates)
     for worker in candidates:
-        score = _score(state, worker, task)
+        score = _score(state, worker, task, reserve)
         if score is None:
             continue
         if best is None or score < best:
@@ -122,10 +146,23 @@
     return chosen
 
 
+def _lateness(state, task):
+    """Returns 0 for a job in time, 1 for a late one, 2 for a hopeless one."""
+    job = task.job
+    if task.step.lasting or job.spec.repeats:
+        return 0
+    now = state.wall_ms
+    objective = job.deadline - job.spec.accepted_ms
+    if now > job.spec.accepted_ms + LATE_FACTOR * objective:
+        return 2
+    return 1 if now > job.deadline else 0
+
+
 def _group_order(state, group):
     task = next(iter(group.values()))
     job = task.job
-    return (jobs.priority_of(state, job), job.deadline, task.key)
+    priority = jobs.priority_of(state, job)
+    return (priority, _lateness(state, task), job.deadline, task.key)
 
 
 def place(state, effects):
@@ -166,6 +203,10 @@
         if worker is None:
             return
         jobs.drop_ready(shard, task)
+        if task.step.fills:
+            image = task.step.image
+            if interference.risk(state, worker, image)[0] > TRIAL_RISK:
+                shard.tried[image] = state.now
         attempt = orders.next_attempt(shard, task)
         orders.start(state, effects, task, worker, attempt)
 
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -169,13 +169,14 @@
         "fill_cpu",
         "granted_at",
         "highest_end",
-        "judged_at",
         "listed",
         "look_at",
         "looking",
         "name",
         "rest_until",
+        "risks",
         "runs",
+        "tested_at",
         "unsaved",
         "used",
     )
@@ -190,7 +191,8 @@
         self.runs: dict[records.TaskKey, Task] = {}
         self.used = [0, 0, 0]
         self.fill_cpu = 0
-        self.judged_at = 0
+        self.risks: dict[str, tuple[float, float]] = {}
+        self.tested_at = 0
         self.disturbed_since = 0
         self.departed: dict[str, int] = {}
         self.acknowledged = 0
@@ -226,7 +228,9 @@
         dirty: Jobs whose `work` row must be written.
         saving: Jobs in the commit in flight.
         pairs: How likely tasks of one image disturb those of another, by
-            (image that serves, image that fills).
+            (image that serves, image that fills), and when that was learned.
+        tried: When an image that may disturb was last placed.
+        lowest_tail: Lowest tail in ms without filling tasks, by image.
     """
 
     def __init__(self, epoch: int, owner_version: int, now: int):
@@ -256,7 +260,9 @@
         self.roster_at = 0
         self.roster_version = 0
         self.former: dict[str, Any] = {}
-        self.pairs: dict[tuple[str, str], float] = {}
+        self.pairs: dict[tuple[str, str], tuple[float, int]] = {}
+        self.tried: dict[str, int] = {}
+        self.lowest_tail: dict[str, float] = {}
         self.beating = False
         self.beat_at = 0
 
