--- a/packages/core/src/skylarklug/scheduler/interference.py
+++ b/packages/core/src/skylarklug/scheduler/interference.py
@@ -32,8 +32,8 @@
 CEILING = 0.98
 # Rise of the load that counts as disturbed, and as not. At a low load
 # neither shows above the noise of a tail.
-DISTURBED_RISE = 0.15
-QUIET_RISE = 0.06
+DISTURBED_RISE = 0.2
+QUIET_RISE = 0.1
 TEST_LOAD = 0.4
 # Tails older than this say nothing about the load now.
 FRESH_MS = 1_200
@@ -45,7 +45,7 @@
 TEST_INTERVAL_MS = 600
 # Share of its target above which a serving task is relieved, and belief from
 # which an image is stopped for it.
-RELIEVE_AT = 0.85
+RELIEVE_AT = 0.95
 CULPRIT = 0.5
 # With no clear culprit the likeliest is stopped after this time; a rule of
 # the platform allows `harm_ms` in all.
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -27,7 +27,7 @@
 LATE_FACTOR = 3
 # A worker where a filling task more likely than this disturbs a serving one
 # is not used for it; above the second figure, for one trial at a time.
-RISK_LIMIT = 0.55
+RISK_LIMIT = 0.75
 TRIAL_RISK = 0.25
 
 
