Hold a lease as ended only after a later commit confirmed the leadership

Now a lease counts as ended only when a commit sent after its end succeeded. Ruled out: clock drift of workers; late orders.

--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -302,8 +302,10 @@
     for worker in list(shard.workers.values()):
         if not worker.looking and state.now >= worker.look_at:
             _look(state, effects, worker)
-        alive_at = max(worker.granted_at, worker.answered_at)
-        if state.now - alive_at < silence:
+        # Only a commit after the end of the lease proves that no other
+        # leader has renewed it meanwhile.
+        ends_at = max(worker.granted_at, worker.answered_at) + silence
+        if shard.confirmed_at < ends_at:
             continue
         if worker.runs:
             _lose_runs(state, effects, worker, "lease ended")
