--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -248,6 +248,10 @@
     )
     if event.result == "unknown":
         return
+    if event.result == "reborn":
+        # Another worker has the address now; none of the orders reached ours.
+        worker.rest_until = state.now + REFUSED_REST_MS
+        return
     if event.result == "refused":
         # Only the first order proves that nothing runs: an earlier one
         # without an answer may still be carried out.
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -152,6 +152,7 @@
         unsaved: Ends that are not committed yet: number to job.
         granted_at: When the newest order that renews its lease was sent.
         answered_at: When it last answered.
+        reborn: It has started again since the last look.
         blame: Recent failed ends there, of different jobs.
     """
 
@@ -173,6 +174,7 @@
         "look_at",
         "looking",
         "name",
+        "reborn",
         "rest_until",
         "risks",
         "runs",
@@ -205,6 +207,7 @@
         self.blame: dict[str, int] = {}
         self.faulty_until = 0
         self.rest_until = 0
+        self.reborn = False
 
     def answers(self, now: int) -> bool:
         """Whether it has answered lately under this leader's epoch."""
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -80,10 +80,14 @@
 
 
 def _on_new_life(state, effects, worker, born):
-    """The worker has started again: nothing of before runs there."""
+    """The worker has started again: nothing of before runs there.
+
+    A start that is on its way may still reach the new life, so the next look
+    decides which runs are lost.
+    """
     if worker.born:
         _log_worker(state, effects, worker, "reborn")
-        _lose_runs(state, effects, worker, "reborn")
+        worker.reborn = True
     worker.born = born
     worker.fenced = False
     worker.clock = (0, 0)
@@ -93,18 +97,18 @@
     worker.look_at = 0
 
 
-def _lose_runs(state, effects, worker, reason):
-    for task in list(worker.runs.values()):
-        fields = {
-            "task": str(task.key),
-            "attempt": task.attempt,
-            "worker": worker.name,
-            "reason": reason,
-            "checkpoint": bool(task.checkpoint),
-        }
-        effects.append(fx.Log("warning", "run-lost", fields))
-        orders.release(state, effects, task, worker)
-        gangs.break_up(state, effects, task, "a member was lost")
+def _lose_run(state, effects, worker, task, reason):
+    """Notes that a run is gone without having been listed as ended."""
+    fields = {
+        "task": str(task.key),
+        "attempt": task.attempt,
+        "worker": worker.name,
+        "reason": reason,
+        "checkpoint": bool(task.checkpoint),
+    }
+    effects.append(fx.Log("warning", "run-lost", fields))
+    orders.release(state, effects, task, worker)
+    gangs.break_up(state, effects, task, "a member was lost")
 
 
 # -------------------------------------------------------------------- looks
@@ -206,6 +210,7 @@
             task.missing = 0
             continue
         _on_unlisted(state, effects, worker, task, event.sent_at)
+    worker.reborn = False
 
 
 def _update_run(state, task, report):
@@ -251,20 +256,14 @@
 def _on_unlisted(state, effects, worker, task, sent_at):
     if task.status == state_lib.STARTING:
         return
+    if worker.reborn:
+        _lose_run(state, effects, worker, task, "reborn")
+        return
     if not task.confirmed_at or sent_at < task.confirmed_at:
         return
     task.missing += 1
-    if task.missing < MISSING_LOOKS:
-        return
-    fields = {
-        "task": str(task.key),
-        "attempt": task.attempt,
-        "worker": worker.name,
-        "reason": "not listed by its worker",
-    }
-    effects.append(fx.Log("warning", "run-lost", fields))
-    orders.release(state, effects, task, worker)
-    gangs.break_up(state, effects, task, "a member was lost")
+    if task.missing >= MISSING_LOOKS:
+        _lose_run(state, effects, worker, task, "not listed")
 
 
 def _on_look_failed(state, event, effects):
@@ -307,8 +306,8 @@
         ends_at = max(worker.granted_at, worker.answered_at) + silence
         if shard.confirmed_at < ends_at:
             continue
-        if worker.runs:
-            _lose_runs(state, effects, worker, "lease ended")
+        for task in list(worker.runs.values()):
+            _lose_run(state, effects, worker, task, "lease ended")
         if not worker.listed and worker.name not in shard.former:
             del shard.workers[worker.name]
     _save_roster(state, effects)
