Test the scheduler in virtual time: jobs, faults, take-overs

Found by the tests and mended: a silent worker got one more lease after its first missed answer, which held its tasks back for two seconds; a task that had failed on a worker went back to it when the others were full.

--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -21,7 +21,7 @@
 
 def is_loaded(shard) -> bool:
     """Whether the books hold all that former leaders left."""
-    return leadership.NEEDED_TABLES <= shard.loaded
+    return shard.loaded >= leadership.NEEDED_TABLES
 
 
 def queue_of(state, job) -> records.Queue | None:
@@ -74,9 +74,7 @@
         if row.value is None:
             continue
         if row.key.endswith(intake.CANCEL_SUFFIX):
-            _on_marker(
-                state, effects, row.key[: -len(intake.CANCEL_SUFFIX)]
-            )
+            _on_marker(state, effects, row.key[: -len(intake.CANCEL_SUFFIX)])
             continue
         if row.key in shard.jobs or row.key in shard.closed:
             continue
--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -264,7 +264,7 @@
             check_conflict(state, effects, answer)
 
     waiting = state.beat.get("waiting", {})
-    if NEEDED_TABLES <= shard.loaded:
+    if shard.loaded >= NEEDED_TABLES:
         waiting = _count_waiting(shard)
     value = {"epoch": shard.epoch, "waiting": waiting}
     store.commit(
--- a/packages/core/src/skylarklug/scheduler/lifecycle.py
+++ b/packages/core/src/skylarklug/scheduler/lifecycle.py
@@ -34,9 +34,7 @@
     if state.stopping_at:
         reason = "stopping"
     effects.append(fx.SetReady(ready, reason))
-    effects.append(
-        fx.Log("info", "ready", {"ready": ready, "reason": reason})
-    )
+    effects.append(fx.Log("info", "ready", {"ready": ready, "reason": reason}))
 
 
 def _on_stop(state, event, effects):
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -22,6 +22,9 @@
 SHORT_MEMORY_MS = 30_000
 # A lasting task may be without a run for three seconds while there is room.
 LASTING_WAIT_MS = 2_000
+# A task waits this long for another worker than one that it failed on, or
+# that fails most of what it starts.
+AVOID_MS = 1_500
 # A job that is later than this many times its objective earns nothing; it
 # still runs, behind those that do.
 LATE_FACTOR = 3
@@ -106,6 +109,8 @@
             return None
     near = 0 if not step.rack or step.rack == worker.entry.rack else 1
     suspect = worker.faulty_until > state.now or worker.name in task.avoid
+    if suspect and state.now - task.wanted_at < AVOID_MS:
+        return None
     if step.fills:
         spare = _spare_cpu(worker)
         if spare < step.need.cpu // 2:
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -12,7 +12,7 @@
 FINISHED = "finished"
 
 # A healthy worker answers a look within its wait and a round trip. One that
-# has been silent for longer gets no lease, so that its tasks can move on.
+# has been silent for longer gets no task.
 SILENCE_MS = 2_000
 
 
@@ -165,6 +165,7 @@
         "departed",
         "disturbed_since",
         "entry",
+        "failed_looks",
         "faulty_until",
         "fenced",
         "fill_cpu",
@@ -203,6 +204,7 @@
         self.granted_at = 0
         self.answered_at = 0
         self.looking = False
+        self.failed_looks = 0
         self.look_at = 0
         self.blame: dict[str, int] = {}
         self.faulty_until = 0
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -118,7 +118,9 @@
     worker.looking = True
     lease_until = 0
     wait_ms = 0
-    if worker.answers(state.now):
+    if worker.answers(state.now) and not worker.failed_looks:
+        # A worker that has become silent gets no new lease, so that its tasks
+        # can move on as early as possible.
         lease_until = worker.clock_now(state.now) + state.cfg.max_lease_ms
         worker.granted_at = state.now
         if not worker.unsaved:
@@ -149,8 +151,9 @@
         return
     if event.born > worker.born:
         _on_new_life(state, effects, worker, event.born)
-    first = not worker.fenced
+    first = not worker.fenced or worker.failed_looks
     worker.fenced = True
+    worker.failed_looks = 0
     worker.clock = (event.clock_ms, state.now)
     worker.answered_at = state.now
     for report in event.ended:
@@ -164,7 +167,7 @@
     _reconcile(state, effects, worker, event)
     interference.judge(state, effects, worker)
     if first:
-        _log_worker(state, effects, worker, "fenced")
+        _log_worker(state, effects, worker, "reached")
         shard.place_soon = True
         worker.look_at = state.now
     elif worker.unsaved:
@@ -273,6 +276,7 @@
     if worker is None:
         return
     worker.looking = False
+    worker.failed_looks += 1
     worker.look_at = state.now + LOOK_RETRY_MS
     fields = {
         "worker": worker.name,
@@ -399,9 +403,7 @@
         effects,
         [
             leadership.owner_check(shard),
-            fx.Check(
-                leadership.TABLE, leadership.ROSTER, shard.roster_version
-            ),
+            fx.Check(leadership.TABLE, leadership.ROSTER, shard.roster_version),
         ],
         [fx.Write(leadership.TABLE, leadership.ROSTER, value)],
         done,
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -204,7 +204,9 @@
         status, version, rows = await self._ports.store.commit(
             effect.checks, effect.writes, effect.timeout_ms
         )
-        self._on_store_answer(effect.op, "commit", sent_at, status, version, rows)
+        self._on_store_answer(
+            effect.op, "commit", sent_at, status, version, rows
+        )
 
     def _read(self, effect):
         self._spawn(self._run_read(effect))
--- /dev/null
+++ b/tests/scheduler/conftest.py
@@ -0,0 +1,20 @@
+import pathlib
+import sys
+
+import pytest
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+
+import scheduler_fakes
+
+
+@pytest.fixture
+def deployment():
+    """Returns a factory of deployments whose leader is settled."""
+
+    def build(**fields):
+        sim = scheduler_fakes.Sim(**fields)
+        sim.run(2_000)
+        return sim
+
+    return build
--- /dev/null
+++ b/tests/scheduler/scheduler_fakes.py
@@ -0,0 +1,632 @@
+"""A small deployment in virtual time: nodes, one store, workers, links."""
+
+import heapq
+import itertools
+
+from skylarklug.scheduler import events
+from skylarklug.scheduler import records
+from skylarklug.scheduler import reducer
+
+STORE_MS = 6
+LINK_MS = 2
+TICK_MS = 25
+POLL_MS = 1_000
+MAX_LEASE_MS = 6_000
+STOP_MS = 200
+WALL_OFFSET = 1_700_000_000_000
+SERVICE = "hub"
+QUEUE = records.Queue(
+    name="batch",
+    host="hub.example",
+    prefix="/batch/",
+    service=SERVICE,
+    priority=2,
+    max_attempts=2,
+    stretch=2.0,
+    objective_ms=1_000,
+    timeout_ms=3_000,
+    advice=None,
+)
+CONFIGURATION = records.Configuration(
+    1, {"batch": QUEUE}, {SERVICE: False}, 262_144
+)
+
+
+def job_id(number):
+    return f"{number:016x}"
+
+
+def step(count=1, **fields):
+    need = records.Resources(
+        fields.pop("cpu", 1_000),
+        fields.pop("memory_mb", 100),
+        fields.pop("accelerators", 0),
+    )
+    estimate_ms = fields.pop("estimate_ms", 1_000)
+    return records.Step(count, need, estimate_ms, **fields)
+
+
+class Store:
+    """Rows with versions; each node may find it in another mode."""
+
+    def __init__(self, sim):
+        self.sim = sim
+        self.rows = {}
+        self.version = 0
+        self.modes = {}
+        self.commits = []
+
+    def commit(self, node, effect):
+        mode = self.modes.get(node.name, "ok")
+        if mode == "refuse":
+            return "refused", 0, ()
+        if mode == "silent":
+            return "unknown", 0, ()
+        answer = self.apply(node, effect)
+        return answer if mode == "ok" else ("unknown", 0, ())
+
+    def apply(self, node, effect):
+        failed = []
+        for check in effect.checks:
+            row = self.rows.get((check.table, check.key))
+            version = row.version if row else 0
+            if version != check.version:
+                value = row.value if row else None
+                failed.append(
+                    events.Row(check.table, check.key, version, value)
+                )
+        if failed:
+            return "conflict", self.version, tuple(failed)
+        self.version += 1
+        self.commits.append((self.sim.now, node.name, effect))
+        changed = []
+        for write in effect.writes:
+            place = (write.table, write.key)
+            row = events.Row(*place, self.version, write.value)
+            if write.value is None:
+                self.rows.pop(place, None)
+            else:
+                self.rows[place] = row
+            changed.append(row)
+        self.sim.feed(changed)
+        return "ok", self.version, ()
+
+    def table(self, name):
+        found = [r for (t, _), r in self.rows.items() if t == name]
+        return tuple(sorted(found, key=lambda row: row.key))
+
+
+class Worker:
+    """A worker with a lease, a fence, runs and ends."""
+
+    def __init__(self, sim, name, cpu=16_000, labels=("a", "r1"), born=1):
+        self.sim = sim
+        self.name = name
+        self.cpu = cpu
+        self.labels = labels
+        self.draining = False
+        self.run_ms = 500
+        self.fail = set()
+        self.tails = {}
+        # Number of coming starts that are carried out without an answer.
+        self.unanswered_starts = 0
+        self.start_life(born)
+
+    def start_life(self, born):
+        self.born = born
+        self.fence = 0
+        self.lease_until = 0
+        self.runs = {}
+        self.ends = []
+        self.seen = 0
+        self.blocked = {}
+
+    def entry(self):
+        return records.WorkerEntry(
+            worker=self.name,
+            service=SERVICE,
+            address=f"{self.name}:1",
+            zone="z1",
+            draining=self.draining,
+            remaining_ms=-1,
+            room=records.Resources(self.cpu, 64_000, 0),
+            labels=self.labels,
+            rack=self.labels[-1],
+            born=self.born,
+        )
+
+    def expire(self):
+        if self.sim.now < self.lease_until:
+            return
+        for key in list(self.runs):
+            self.end(key, "lapsed")
+
+    def end(self, key, how):
+        run = self.runs.pop(key, None)
+        if run is None:
+            return
+        attempt, _, checkpoint, _ = run
+        self.blocked[key] = max(self.blocked.get(key, 0), attempt)
+        number = self.seen + len(self.ends) + 1
+        if self.ends:
+            number = self.ends[-1].number + 1
+        self.ends.append(
+            records.EndReport(number, key, attempt, how, checkpoint)
+        )
+        row = (key, attempt, self.name, self.sim.now, how)
+        self.sim.history.append(row)
+
+    def crash(self, born):
+        for key, run in self.runs.items():
+            row = (key, run[0], self.name, self.sim.now, "crashed")
+            self.sim.history.append(row)
+        self.start_life(born)
+
+    def grant(self, effect):
+        if effect.epoch < self.fence:
+            return False
+        self.fence = effect.epoch
+        if effect.lease_until:
+            limit = self.sim.now + MAX_LEASE_MS
+            until = min(effect.lease_until, limit)
+            self.lease_until = max(self.lease_until, until)
+        return True
+
+    def look(self, effect):
+        self.expire()
+        if not self.grant(effect):
+            return "rejected", "fence", None
+        while self.ends and self.ends[0].number <= effect.acknowledged:
+            end = self.ends.pop(0)
+            self.seen = end.number
+            if end.how == "done":
+                self.sim.noted.add((end.key, end.attempt))
+        running = []
+        for key, (attempt, _, checkpoint, pace) in self.runs.items():
+            del pace
+            gauge = self.tails.get(key.job, 0)
+            running.append(
+                records.RunReport(key, attempt, checkpoint, 50, gauge)
+            )
+        look = (self.born, self.sim.now, tuple(running), tuple(self.ends))
+        return "ok", "", look
+
+    def start(self, effect):
+        self.expire()
+        if not self.grant(effect):
+            return "rejected", "fence"
+        if self.sim.now >= self.lease_until:
+            return "rejected", "late"
+        run = self.runs.get(effect.key)
+        if run is not None and run[0] == effect.attempt:
+            return "ok", ""
+        if effect.attempt <= self.blocked.get(effect.key, 0):
+            return "rejected", "old"
+        self.sim.check_start(self, effect)
+        started = self.sim.now
+        run = (effect.attempt, started, effect.checkpoint, 100)
+        self.runs[effect.key] = run
+        self.sim.starts.append((started, effect.key, effect.attempt, self.name))
+        lasting = self.sim.is_lasting(effect.key)
+        failing = effect.key.job in self.fail or "*" in self.fail
+        if failing or not lasting:
+            how = "failed" if failing else "done"
+
+            def finish():
+                if self.runs.get(effect.key) is run:
+                    self.expire()
+                    self.end(effect.key, how)
+
+            self.sim.after(20 if failing else self.run_ms, finish)
+        return "ok", ""
+
+    def stop(self, effect):
+        if effect.epoch < self.fence:
+            return "rejected", "fence"
+        self.blocked[effect.key] = max(
+            self.blocked.get(effect.key, 0), effect.attempt
+        )
+        run = self.runs.get(effect.key)
+        if run is not None and run[0] == effect.attempt:
+            saved = (run[0], run[1], f"saved-{self.sim.now}", run[3])
+            self.runs[effect.key] = saved
+
+            def finish():
+                if self.runs.get(effect.key) is saved:
+                    self.end(effect.key, "stopped")
+
+            self.sim.after(STOP_MS, finish)
+        return "ok", ""
+
+    def pace(self, effect):
+        del effect
+        return "ok", ""
+
+
+class Node:
+    """One node: a reducer and what it follows."""
+
+    def __init__(self, sim, name, incarnation):
+        cfg = records.Settings(
+            node=name,
+            zone="z1",
+            incarnation=incarnation,
+            max_lease_ms=MAX_LEASE_MS,
+            gang_timeout_ms=3_000,
+            finish_ms=14_000,
+            harm_ms=4_000,
+            stop_grace_ms=6_000,
+            status_ms=120_000,
+            far_factor=2.0,
+        )
+        self.sim = sim
+        self.name = name
+        self.state = reducer.new_state(cfg, incarnation)
+        self.alive = True
+        self.following = {}
+        self.missed = set()
+        self.logs = []
+        self.ready = False
+
+
+class Sim:
+    """Runs everything in virtual milliseconds."""
+
+    def __init__(self, nodes=3, workers=4):
+        self.now = 1_000
+        self.queue = []
+        self.order = itertools.count()
+        self.incarnations = itertools.count(1)
+        self.store = Store(self)
+        self.answers = {}
+        self.starts = []
+        self.history = []
+        # Ends as done that a leader acknowledged.
+        self.noted = set()
+        self.specs = {}
+        self.problems = []
+        self.workers = {}
+        self.cut = set()
+        self.nodes = {}
+        for number in range(workers):
+            worker = Worker(self, f"w{number}")
+            self.workers[worker.name] = worker
+        for number in range(nodes):
+            self.add_node(f"n{number}")
+
+    # ------------------------------------------------------------- machinery
+
+    def after(self, delay, call):
+        heapq.heappush(self.queue, (self.now + delay, next(self.order), call))
+
+    def run(self, milliseconds):
+        end = self.now + milliseconds
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, call = heapq.heappop(self.queue)
+            call()
+        self.now = end
+
+    def add_node(self, name):
+        node = Node(self, name, next(self.incarnations))
+        self.nodes[name] = node
+        self.follow(node, "leadership")
+        self.deliver(
+            node,
+            STORE_MS,
+            lambda at: events.ConfigurationRead(at, CONFIGURATION),
+        )
+        self.tick(node)
+        self.poll(node)
+        return node
+
+    def kill(self, name):
+        self.nodes.pop(name).alive = False
+
+    def tick(self, node):
+        if not node.alive:
+            return
+        self.dispatch(node, events.Tick(self.now, self.now + WALL_OFFSET))
+        self.after(TICK_MS, lambda: self.tick(node))
+
+    def deliver(self, node, delay, make):
+        def arrive():
+            if node.alive:
+                self.dispatch(node, make(self.now))
+
+        self.after(delay, arrive)
+
+    def dispatch(self, node, event):
+        for effect in reducer.reduce(node.state, event):
+            self.perform(node, effect)
+
+    def perform(self, node, effect):
+        name = type(effect).__name__
+        handler = getattr(self, f"on_{name}", None)
+        if handler is not None:
+            handler(node, effect)
+
+    # -------------------------------------------------------------- effects
+
+    def on_Answer(self, node, effect):  # noqa: N802
+        self.answers.setdefault(effect.req, []).append(effect)
+
+    def on_Log(self, node, effect):  # noqa: N802
+        node.logs.append((self.now, effect.event, effect.fields))
+
+    def on_SetReady(self, node, effect):  # noqa: N802
+        node.ready = effect.ready
+
+    def on_Exit(self, node, effect):  # noqa: N802
+        node.alive = False
+        self.nodes.pop(node.name, None)
+
+    def on_Commit(self, node, effect):  # noqa: N802
+        sent_at = self.now
+
+        def apply():
+            status, version, rows = self.store.commit(node, effect)
+            delay = STORE_MS // 2
+            if status == "unknown":
+                delay = effect.timeout_ms
+            self.deliver(
+                node,
+                delay,
+                lambda at: events.StoreAnswered(
+                    at, sent_at, effect.op, status, version, rows
+                ),
+            )
+
+        self.after(STORE_MS // 2, apply)
+
+    def on_ReadRows(self, node, effect):  # noqa: N802
+        sent_at = self.now
+
+        def read():
+            if self.store.modes.get(node.name, "ok") not in ("ok", "lose"):
+                answer = ("refused", 0, ())
+            else:
+                rows = self.store.table(effect.table)
+                if effect.key:
+                    rows = tuple(r for r in rows if r.key == effect.key)
+                answer = ("ok", self.store.version, rows)
+            self.deliver(
+                node,
+                STORE_MS // 2,
+                lambda at: events.StoreAnswered(
+                    at, sent_at, effect.op, *answer
+                ),
+            )
+
+        self.after(STORE_MS // 2, read)
+
+    def on_Follow(self, node, effect):  # noqa: N802
+        self.follow(node, effect.table)
+
+    def on_Unfollow(self, node, effect):  # noqa: N802
+        node.following.pop(effect.table, None)
+
+    def follow(self, node, table):
+        mark = object()
+        node.following[table] = mark
+
+        def read():
+            if node.following.get(table) is not mark:
+                return
+            if table == "workers":
+                entries = tuple(w.entry() for w in self.workers.values())
+                event = events.WorkersRead(self.now, True, entries, ())
+            else:
+                rows = self.store.table(table)
+                event = events.RowsChanged(self.now, table, True, rows)
+            if node.alive:
+                self.dispatch(node, event)
+
+        self.after(STORE_MS, read)
+
+    def poll(self, node):
+        """Ends long polls without a change, and reads again what was missed."""
+        if not node.alive:
+            return
+        if self.store.modes.get(node.name, "ok") in ("ok", "lose"):
+            for table in sorted(node.following):
+                if table in node.missed:
+                    self.follow(node, table)
+                elif table != "workers":
+                    event = events.RowsChanged(self.now, table, False, ())
+                    self.dispatch(node, event)
+            node.missed.clear()
+        self.after(POLL_MS, lambda: self.poll(node))
+
+    def feed(self, changed):
+        for node in list(self.nodes.values()):
+            if self.store.modes.get(node.name, "ok") not in ("ok", "lose"):
+                node.missed.update(row.table for row in changed)
+                continue
+            by_table = {}
+            for row in changed:
+                if row.table in node.following:
+                    by_table.setdefault(row.table, []).append(row)
+            for table, rows in by_table.items():
+                self.deliver(
+                    node,
+                    STORE_MS,
+                    lambda at, table=table, rows=tuple(rows): (
+                        events.RowsChanged(at, table, False, rows)
+                    ),
+                )
+
+    def list_workers(self):
+        """Tells all nodes the entries as they are now."""
+        entries = tuple(w.entry() for w in self.workers.values())
+        for node in self.nodes.values():
+            if "workers" in node.following:
+                self.deliver(
+                    node,
+                    STORE_MS,
+                    lambda at: events.WorkersRead(at, True, entries, ()),
+                )
+
+    def reaches(self, node, worker):
+        return (node.name, worker) not in self.cut
+
+    def on_Look(self, node, effect):  # noqa: N802
+        self.order_worker(node, effect, "look")
+
+    def on_StartRun(self, node, effect):  # noqa: N802
+        self.order_worker(node, effect, "start")
+
+    def on_StopRun(self, node, effect):  # noqa: N802
+        self.order_worker(node, effect, "stop")
+
+    def on_PaceRun(self, node, effect):  # noqa: N802
+        self.order_worker(node, effect, "pace")
+
+    def order_worker(self, node, effect, op):
+        sent_at = self.now
+        key = getattr(effect, "key", None)
+        attempt = getattr(effect, "attempt", 0)
+
+        def answer(delay, result, reason, look=None):
+            if result == "ok" and op == "look":
+                self.deliver(
+                    node,
+                    delay,
+                    lambda at: events.WorkerLooked(
+                        at, sent_at, effect.worker, *look
+                    ),
+                )
+                return
+            self.deliver(
+                node,
+                delay,
+                lambda at: events.OrderAnswered(
+                    at,
+                    sent_at,
+                    effect.worker,
+                    op,
+                    key,
+                    attempt,
+                    result,
+                    reason,
+                ),
+            )
+
+        def arrive():
+            worker = self.workers.get(effect.worker)
+            if worker is None or not self.reaches(node, effect.worker):
+                answer(effect.timeout_ms, "unknown", "silent")
+                return
+            if op == "start" and worker.unanswered_starts:
+                worker.unanswered_starts -= 1
+                worker.start(effect)
+                answer(effect.timeout_ms, "unknown", "silent")
+                return
+            found = getattr(worker, op)(effect)
+            wait = LINK_MS
+            if op == "look" and found[0] == "ok" and effect.wait_ms:
+                wait += 0 if found[2][3] else 200
+            answer(wait, *found)
+
+        self.after(LINK_MS, arrive)
+
+    # -------------------------------------------------------------- clients
+
+    def submit(self, number, *steps, node=None, **fields):
+        """Hands a job in and returns the name of the request."""
+        job = job_id(number)
+        spec = records.JobSpec(
+            job="",
+            queue="",
+            service="",
+            payload="do it",
+            steps=steps,
+            accepted_ms=0,
+            **fields,
+        )
+        self.specs[job] = spec
+        return self.call(events.JobSubmitted, job, node, spec, "")
+
+    def ask(self, number, node=None):
+        return self.call(events.JobAsked, job_id(number), node)
+
+    def cancel(self, number, node=None):
+        return self.call(events.JobCancelled, job_id(number), node)
+
+    def call(self, kind, job, node, *fields):
+        req = f"q{next(self.order)}"
+        target = self.nodes[node or min(self.nodes)]
+        event = kind(
+            self.now, req, QUEUE.host, QUEUE.prefix + job, *fields, 3_000
+        )
+        self.dispatch(target, event)
+        return req
+
+    def status(self, req):
+        found = self.answers.get(req)
+        return found[0].status if found else None
+
+    def state_of(self, number):
+        """Returns what a client is told now."""
+        req = self.ask(number)
+        self.run(50)
+        return self.answers[req][0].body.get("state", "gone")
+
+    # --------------------------------------------------------------- checks
+
+    def leader(self):
+        found = [n for n in self.nodes.values() if n.state.shard is not None]
+        return max(found, key=lambda n: n.state.shard.epoch, default=None)
+
+    def is_lasting(self, key):
+        return self.specs[key.job].steps[key.step].lasting
+
+    def check_start(self, worker, effect):
+        """Records what must never happen when a task starts."""
+        key = effect.key
+        spec = self.specs[key.job]
+        for other in self.workers.values():
+            other.expire()
+            if key in other.runs:
+                self.problems.append(f"{key} twice at {self.now}")
+        for before in spec.steps[key.step].after:
+            done = {
+                row[0]
+                for row in self.history
+                if row[0][:3] == (key.job, key.occurrence, before)
+                and row[4] == "done"
+            }
+            if len(done) < spec.steps[before].count:
+                self.problems.append(f"{key} before step {before}")
+        used = effect.key and spec.steps[key.step].need.cpu
+        for other in worker.runs:
+            used += self.specs[other.job].steps[other.step].need.cpu
+        if used > worker.cpu:
+            self.problems.append(f"{worker.name} holds {used}")
+
+    def find_problems(self):
+        """Returns what must never happen, over the whole run."""
+        found = list(self.problems)
+        for key, attempt, _, ended_at, how in self.history:
+            if how != "done" or (key, attempt) not in self.noted:
+                continue
+            for at, other, _, _ in self.starts:
+                if other == key and at > ended_at:
+                    found.append(f"{key} again at {at}")
+        return found
+
+    def running(self, number):
+        """Returns (key, worker) of all runs of a job."""
+        job = job_id(number)
+        found = []
+        for worker in self.workers.values():
+            worker.expire()
+            for key in worker.runs:
+                if key.job == job:
+                    found.append((key, worker.name))
+        return sorted(found)
+
+    def log_of(self, event):
+        found = []
+        for node in self.nodes.values():
+            found.extend(row for row in node.logs if row[1] == event)
+        return found
--- /dev/null
+++ b/tests/scheduler/test_jobs.py
@@ -0,0 +1,304 @@
+import scheduler_fakes as fakes
+
+from skylarklug.scheduler import events
+from skylarklug.scheduler import records
+
+
+class TestSubmission:
+    def test_job_is_stored_before_it_is_accepted(self, deployment):
+        """Guards against a job that is lost after its 200."""
+        sim = deployment()
+        req = sim.submit(1, fakes.step())
+        assert sim.status(req) is None
+        sim.run(20)
+        assert sim.status(req) == 200
+        assert ("jobs", fakes.job_id(1)) in sim.store.rows
+
+    def test_repeat_at_another_node_is_the_same_job(self, deployment):
+        """Guards against a second run of a job that came twice."""
+        sim = deployment()
+        first = sim.submit(1, fakes.step(), node="n0")
+        second = sim.submit(1, fakes.step(), node="n1")
+        sim.run(3_000)
+        third = sim.submit(1, fakes.step(), node="n2")
+        sim.run(3_000)
+        statuses = [sim.status(req) for req in (first, second, third)]
+        assert statuses == [200, 200, 200]
+        assert len(sim.starts) == 1
+
+    def test_refusal_is_true(self, deployment):
+        """Guards against a job that runs although it was refused."""
+        sim = deployment()
+        sim.store.modes["n0"] = "refuse"
+        req = sim.submit(1, fakes.step(), node="n0")
+        sim.run(5_000)
+        answer = sim.answers[req][0]
+        assert (answer.status, answer.retry_after_s) == (503, 1)
+        assert not sim.starts
+
+    def test_lost_answer_gives_no_verdict(self, deployment):
+        """Guards against "not accepted" for a job that was stored."""
+        sim = deployment()
+        leader = sim.leader().name
+        client = next(name for name in sim.nodes if name != leader)
+        sim.store.modes[client] = "lose"
+        req = sim.submit(1, fakes.step(), node=client)
+        sim.run(5_000)
+        assert sim.status(req) == 504
+        assert len(sim.starts) == 1
+
+    def test_unknown_queue_and_missing_configuration(self, deployment):
+        """Guards against a verdict on queues before they are known."""
+        sim = deployment()
+        node = sim.nodes["n0"]
+        path = "/other/" + fakes.job_id(1)
+        event = events.JobAsked(sim.now, "a", fakes.QUEUE.host, path, 0)
+        sim.dispatch(node, event)
+        assert sim.status("a") == 404
+        node.state.configuration = None
+        sim.dispatch(node, event._replace(req="b"))
+        assert sim.status("b") == 503
+
+    def test_unknown_job_is_gone(self, deployment):
+        """Guards against states of jobs that nobody submitted."""
+        sim = deployment()
+        req = sim.ask(9)
+        sim.run(50)
+        assert sim.status(req) == 410
+
+
+class TestSteps:
+    def test_steps_wait_for_those_before(self, deployment):
+        """Guards against a start before its inputs exist."""
+        sim = deployment()
+        sim.submit(1, fakes.step(3), fakes.step(2, after=(0,)))
+        sim.run(4_000)
+        assert not sim.find_problems()
+        assert [key.step for _, key, _, _ in sim.starts] == [0, 0, 0, 1, 1]
+        assert sim.state_of(1) == "done"
+
+    def test_room_is_kept(self, deployment):
+        """Guards against a worker committed beyond its processor."""
+        sim = deployment(workers=2)
+        sim.submit(1, fakes.step(12, cpu=5_000))
+        sim.run(8_000)
+        assert not sim.find_problems()
+        assert len(sim.starts) == 12
+
+    def test_most_on_one_worker(self, deployment):
+        """Guards against more tasks of a step on a worker than it allows."""
+        sim = deployment(workers=2)
+        sim.submit(1, fakes.step(6, max_per_worker=1, cpu=100))
+        sim.run(400)
+        assert len({name for _, name in sim.running(1)}) == 2
+        assert len(sim.running(1)) == 2
+        sim.run(4_000)
+        assert sim.state_of(1) == "done"
+
+    def test_label_is_required(self, deployment):
+        """Guards against a start on a worker without the label."""
+        sim = deployment(workers=3)
+        sim.workers["w1"].labels = ("gpu", "r1")
+        sim.list_workers()
+        sim.run(100)
+        sim.submit(1, fakes.step(4, label="gpu"))
+        sim.run(3_000)
+        assert {row[3] for row in sim.starts} == {"w1"}
+
+    def test_same_rack(self, deployment):
+        """Guards against a step that is slow because it spans racks."""
+        sim = deployment(workers=4)
+        for name in ("w2", "w3"):
+            sim.workers[name].labels = ("a", "r2")
+        sim.list_workers()
+        sim.run(100)
+        sim.submit(1, fakes.step(6, cpu=4_000, same_rack=True))
+        sim.run(400)
+        racks = {sim.workers[n].labels[-1] for _, n in sim.running(1)}
+        assert len(racks) == 1
+
+    def test_rack_of_the_data_comes_first(self, deployment):
+        """Guards against work far from its data while there is room near."""
+        sim = deployment(workers=4)
+        sim.workers["w3"].labels = ("a", "r9")
+        sim.list_workers()
+        sim.run(100)
+        sim.submit(1, fakes.step(3, rack="r9"))
+        sim.run(400)
+        assert {name for _, name in sim.running(1)} == {"w3"}
+
+
+class TestOccurrences:
+    def test_each_runs_once_and_not_early(self, deployment):
+        """Guards against occurrences that start early, twice or never."""
+        sim = deployment()
+        first = sim.now + fakes.WALL_OFFSET + 1_500
+        sim.submit(
+            1, fakes.step(2), repeats=3, first_due_ms=first, interval_ms=700
+        )
+        sim.run(1_000)
+        assert not sim.starts
+        sim.run(5_000)
+        assert len(sim.starts) == 6
+        for at, key, _, _ in sim.starts:
+            due = first + 700 * key.occurrence - fakes.WALL_OFFSET
+            assert due <= at < due + 400
+        assert sim.state_of(1) == "done"
+
+
+class TestCancel:
+    def test_tasks_end_and_state_says_so(self, deployment):
+        """Guards against runs that outlive their job's cancellation."""
+        sim = deployment()
+        sim.submit(1, fakes.step(3, lasting=True))
+        sim.run(1_000)
+        assert len(sim.running(1)) == 3
+        req = sim.cancel(1, node="n2")
+        sim.run(1_000)
+        assert sim.status(req) == 200
+        assert sim.running(1) == []
+        assert sim.state_of(1) == "canceled"
+
+    def test_cancel_during_a_take_over(self, deployment):
+        """Guards against a cancellation that the former leader took along."""
+        sim = deployment()
+        sim.submit(1, fakes.step(3, lasting=True))
+        sim.run(1_000)
+        sim.kill(sim.leader().name)
+        sim.run(100)
+        req = sim.cancel(1)
+        sim.run(5_000)
+        assert sim.status(req) == 200
+        assert sim.running(1) == []
+        assert sim.state_of(1) == "canceled"
+
+    def test_unknown_and_finished_jobs(self, deployment):
+        """Guards against cancellations that never get an answer."""
+        sim = deployment()
+        sim.submit(1, fakes.step())
+        sim.run(3_000)
+        finished = sim.cancel(1)
+        unknown = sim.cancel(7)
+        sim.run(100)
+        assert sim.status(finished) == 200
+        assert sim.status(unknown) == 410
+
+
+class TestFailures:
+    def test_hopeless_job_ends_after_its_attempts(self, deployment):
+        """Guards against a job that can never be done but always starts."""
+        sim = deployment()
+        for worker in sim.workers.values():
+            worker.fail.add(fakes.job_id(1))
+        sim.submit(1, fakes.step())
+        sim.run(3_000)
+        assert len(sim.starts) == 2
+        assert sim.state_of(1) == "failed"
+        assert len({row[3] for row in sim.starts}) == 2
+
+    def test_attempts_count_across_a_take_over(self, deployment):
+        """Guards against attempts that a new leader counts from zero."""
+        sim = deployment()
+        for worker in sim.workers.values():
+            worker.fail.add(fakes.job_id(1))
+        sim.submit(1, fakes.step(), fakes.step())
+        sim.run(60)
+        sim.kill(sim.leader().name)
+        sim.run(15_000)
+        for index in range(2):
+            runs = [row for row in sim.starts if row[1].step == index]
+            assert len(runs) <= 2
+        assert sim.state_of(1) == "failed"
+
+    def test_worker_that_fails_everything_is_avoided(self, deployment):
+        """Guards against good jobs that fail on one bad worker."""
+        sim = deployment(workers=8)
+        sim.workers["w0"].fail.add("*")
+        for number in range(1, 30):
+            sim.submit(number, fakes.step(4, cpu=8_000))
+            sim.run(200)
+        sim.run(3_000)
+        states = [sim.state_of(number) for number in range(1, 30)]
+        assert set(states) == {"done"}
+        assert sim.log_of("quarantine")
+
+    def test_lasting_task_starts_again_however_it_ends(self, deployment):
+        """Guards against a watcher that stops and nobody notices."""
+        sim = deployment()
+        sim.submit(1, fakes.step(lasting=True))
+        sim.run(1_000)
+        ((key, name),) = sim.running(1)
+        sim.workers[name].end(key, "failed")
+        sim.run(1_500)
+        ((_, other),) = sim.running(1)
+        assert other != name
+        sim.workers[other].end(key, "done")
+        sim.run(1_500)
+        assert len(sim.running(1)) == 1
+        assert sim.state_of(1) == "running"
+
+
+class TestGangs:
+    def test_members_start_together_with_one_attempt(self, deployment):
+        """Guards against members that wait alone for the others."""
+        sim = deployment(workers=2)
+        sim.submit(1, fakes.step(7, cpu=4_000, gang=True))
+        sim.run(400)
+        assert len(sim.running(1)) == 7
+        assert len({row[2] for row in sim.starts}) == 1
+        sim.submit(2, fakes.step(8, cpu=4_000, gang=True))
+        sim.run(100)
+        assert not sim.running(2)
+        sim.run(4_000)
+        assert sim.state_of(2) == "done"
+
+    def test_gang_starts_again_as_a_whole(self, deployment):
+        """Guards against a gang that goes on with a part of its members."""
+        sim = deployment(workers=3)
+        sim.submit(1, fakes.step(3, cpu=6_000, gang=True))
+        for worker in sim.workers.values():
+            worker.run_ms = 3_000
+        sim.run(400)
+        key, name = sim.running(1)[0]
+        sim.workers[name].end(key, "stopped")
+        sim.run(2_000)
+        attempts = {w.runs[k][0] for w in sim.workers.values() for k in w.runs}
+        assert len(sim.running(1)) == 3
+        assert len(attempts) == 1
+
+
+class TestQueueLength:
+    def test_only_jobs_without_a_start_wait(self, deployment):
+        """Guards against started jobs that count as waiting, or none at all."""
+        sim = deployment(workers=1)
+        for number in range(1, 4):
+            sim.submit(number, fakes.step(cpu=16_000, lasting=True))
+        sim.run(2_000)
+        assert self.waiting(sim) == 2
+        sim.kill(sim.leader().name)
+        sim.run(6_000)
+        assert self.waiting(sim) == 2
+
+    def waiting(self, sim):
+        req = sim.call(events.JobAsked, "", None)
+        return sim.answers[req][0].body["waiting"]
+
+
+class TestConfiguration:
+    def test_longest_prefix_wins_and_older_versions_are_ignored(self):
+        """Guards against a request in the wrong queue or an older one."""
+        short = fakes.QUEUE._replace(name="short", prefix="/b")
+        cfg = records.Configuration(
+            2, {"short": short, "batch": fakes.QUEUE}, {}, 0
+        )
+        host = fakes.QUEUE.host
+        assert cfg.match(host, "/batch/x").name == "batch"
+        assert cfg.match(host, "/b/x").name == "short"
+        assert cfg.match("other", "/batch/x") is None
+        sim = fakes.Sim()
+        sim.run(100)
+        node = sim.nodes["n0"]
+        sim.dispatch(node, events.ConfigurationRead(sim.now, cfg))
+        older = cfg._replace(version=1, queues={})
+        sim.dispatch(node, events.ConfigurationRead(sim.now, older))
+        assert node.state.configuration is cfg
