--- a/tests/scheduler/test_faults.py
+++ b/tests/scheduler/test_faults.py
@@ -80,12 +80,12 @@
         """Guards against a leader without the store that starts again what
         the new leader keeps running."""
         sim = deployment(workers=4)
-        sim.submit(1, fakes.step(4, cpu=10_000, lasting=True))
+        sim.submit(1, fakes.step(4, cpu=7_000, lasting=True))
         sim.run(1_000)
         old = sim.leader()
         for name in ("w0", "w1"):
             sim.cut.add((old.name, name))
-        sim.run(1_200)
+        sim.run(2_000)
         sim.store.modes[old.name] = "silent"
         for node in sim.nodes.values():
             if node is not old:
