--- a/packages/core/src/skylarklug/scheduler/intake.py
+++ b/packages/core/src/skylarklug/scheduler/intake.py
@@ -18,10 +18,14 @@
 
 
 def _answer(state, effects, req, status, body=None, retry_after_s=0):
-    state.open_requests.pop(req, None)
+    since = state.open_requests.pop(req, state.now)
     effects.append(fx.Answer(req, status, body or {}, retry_after_s))
     effects.append(
-        fx.Measure("skylarklug.requests", 1, {"status": str(status)})
+        fx.Measure(
+            "skylarklug.answer.duration",
+            (state.now - since) / 1000,
+            {"status": str(status)},
+        )
     )
 
 
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -79,6 +79,8 @@
         "view_ms": state.now - worker.answered_at,
     }
     effects.append(fx.Log("info", "place", fields))
+    waited = (state.now - task.wanted_at) / 1000
+    effects.append(fx.Measure("skylarklug.start.wait", waited, {}))
 
 
 def _send_start(state, effects, task, worker):
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -55,7 +55,8 @@
 
     Args:
         cfg: Settings that decisions use.
-        meters: Records measurements; has `record(name, value, attributes)`.
+        meters: Records measurements; has `record(name, value, attributes)`
+            and `render_text()`.
         seed: Seeds the node's randomness.
     """
 
@@ -65,6 +66,7 @@
         self._output = output.Output()
         self._logger = logs.Logger(cfg.node, boot_ms, self._write_line)
         self._meters = meters
+        self._lost_reported = 0
         self._queue = collections.deque()
         self._reducing = False
         self._feeds: dict[str, feeds.Feed] = {}
@@ -111,6 +113,13 @@
                 feed.stop()
             self._output.flush()
 
+    def render_metrics(self) -> bytes:
+        """Returns all metrics as text."""
+        lost = self._output.lost - self._lost_reported
+        self._lost_reported = self._output.lost
+        self._meters.record("skylarklug.log.lost", lost, {})
+        return self._meters.render_text()
+
     def log(self, level: str, event: str, fields) -> None:
         """Writes one log line."""
         self._logger.log(level, event, fields)
@@ -120,12 +129,16 @@
         self._output.write(line)
 
     async def _tick(self):
+        due = boot_ms()
         while True:
+            late = max(0, boot_ms() - due) / 1000
+            self._meters.record("skylarklug.tick.delay", late, {})
             self.dispatch(events.Tick(boot_ms(), wall_ms()))
             self._output.flush()
             delay = FOLLOWER_TICK_MS
             if self._state.shard is not None or self._state.stopping_at:
                 delay = LEADER_TICK_MS
+            due = boot_ms() + delay
             await asyncio.sleep(delay / 1000)
 
     def dispatch(self, event) -> None:
