--- a/packages/node/src/skylarklugd/client.py
+++ b/packages/node/src/skylarklugd/client.py
@@ -67,7 +67,8 @@
             ExchangeFailed: There was no whole response.
         """
         fields = httputil.HTTPHeaders(headers or {})
-        fields["Host"] = address
+        if "Host" not in fields:
+            fields["Host"] = address
         if body is not None:
             fields["Content-Length"] = str(len(body))
         collector = _Collector()
--- a/packages/node/src/skylarklugd/logs.py
+++ b/packages/node/src/skylarklugd/logs.py
@@ -9,7 +9,10 @@
 REPEAT_INTERVAL_MS = 1000
 MAX_REMEMBERED = 1024
 SECRET_FIELDS = frozenset({"token", "secret", "authorization", "password"})
-UNLIMITED_EVENTS = frozenset({"route", "place"})
+# Each of these concerns another request or task.
+UNLIMITED_EVENTS = frozenset(
+    {"place", "request-failed", "route", "run-lost", "start-failed"}
+)
 
 _LEVELS = {
     "debug": logging.DEBUG,
--- /dev/null
+++ b/tests/platform/platform_standin.py
@@ -0,0 +1,274 @@
+"""Small stand-ins of the platform's store, workers and lists, over HTTP.
+
+Written from the platform's pages; they hold what the adapter's calls need.
+"""
+
+import asyncio
+import base64
+import json
+import time
+
+from tornado import httpserver
+from tornado import httputil
+from tornado import netutil
+
+
+def now_ms():
+    return time.monotonic_ns() // 1_000_000
+
+
+def respond(req, status, fields):
+    body = json.dumps(fields).encode()
+    headers = httputil.HTTPHeaders({"Content-Length": str(len(body))})
+    start = httputil.ResponseStartLine("HTTP/1.1", status, "-")
+    req.connection.write_headers(start, headers, body)
+    req.connection.finish()
+
+
+class Server:
+    """Listens on a free port and hands requests to `calls` by path."""
+
+    def __init__(self):
+        (sock, *_) = netutil.bind_sockets(0, "127.0.0.1")
+        self.address = f"127.0.0.1:{sock.getsockname()[1]}"
+        self.server = httpserver.HTTPServer(self.on_request)
+        self.server.add_socket(sock)
+        self.requests = []
+        # Status that every call gets, "silent" for no answer; 0 for none.
+        self.fault = 0
+
+    def on_request(self, req):
+        body = json.loads(req.body) if req.body else None
+        self.requests.append((req.method, req.path, dict(req.headers), body))
+        if self.fault == "silent":
+            return
+        if self.fault:
+            respond(req, self.fault, {"reason": "fault"})
+            return
+        self.handle(req, body)
+
+    def close(self):
+        self.server.stop()
+
+
+class Store(Server):
+    """Rows, transactions, feeds."""
+
+    def __init__(self, page=500):
+        super().__init__()
+        self.rows = {}
+        self.ver = 0
+        self.history = []
+        self.forgotten = 0
+        self.page = page
+        self.changed = asyncio.Event()
+
+    def put(self, table, part, key, value):
+        self.ver += 1
+        self.write(table, part, key, json.dumps(value).encode())
+
+    def write(self, table, part, key, raw):
+        row = {
+            "table": table,
+            "part": part,
+            "key": key,
+            "value": base64.b64encode(raw).decode(),
+            "ver": self.ver,
+        }
+        self.rows[table, part, key] = row
+        self.record(row)
+
+    def record(self, row):
+        self.history.append(row)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def handle(self, req, body):
+        if req.path == "/api/rows-tx":
+            self.transact(req, body)
+        elif req.path == "/api/rows-get":
+            self.get(req)
+        elif req.path == "/api/rows-feed":
+            asyncio.ensure_future(self.feed(req))
+        else:
+            respond(req, 400, {"reason": "no such call"})
+
+    def transact(self, req, body):
+        failed = []
+        for check in body["precondition"]:
+            place = (check["table"], check["part"], check["key"])
+            row = self.rows.get(place)
+            if (row["ver"] if row else 0) != check["ver"]:
+                empty = dict(zip(("table", "part", "key"), place, strict=True))
+                failed.append(row or {**empty, "ver": 0, "tombstone": True})
+        if failed:
+            respond(req, 412, {"ver": self.ver, "rows": failed})
+            return
+        self.ver += 1
+        for row in body["put"]:
+            raw = base64.b64decode(row["value"])
+            self.write(row["table"], row["part"], row["key"], raw)
+        for row in body["remove"]:
+            place = (row["table"], row["part"], row["key"])
+            if self.rows.pop(place, None):
+                self.record({**row, "ver": self.ver, "tombstone": True})
+        respond(req, 200, {"ver": self.ver, "now_ms": now_ms()})
+
+    def get(self, req):
+        table = req.arguments["table"][0].decode()
+        part = req.arguments.get("part", [b""])[0].decode()
+        first = req.arguments.get("from", [b""])[0].decode()
+        last = req.arguments.get("to", [b""])[0].decode()
+        limit = int(req.arguments.get("limit", [b"500"])[0])
+        found = []
+        for (t, p, key), row in sorted(self.rows.items()):
+            if (t, p) == (table, part) and key >= first:
+                if not last or key < last:
+                    found.append(row)
+        size = min(limit, self.page)
+        more = len(found) > size
+        fields = {"rows": found[:size], "has_more": more, "ver": self.ver}
+        respond(req, 200, fields)
+
+    async def feed(self, req):
+        table = req.arguments["table"][0].decode()
+        after = int(req.arguments["after"][0])
+        end = now_ms() + int(req.arguments["wait_ms"][0])
+        if after < self.forgotten:
+            respond(req, 410, {})
+            return
+        while True:
+            rows = [
+                row
+                for row in self.history
+                if row["table"] == table and row["ver"] > after
+            ]
+            left = (end - now_ms()) / 1000
+            if rows or left <= 0:
+                respond(req, 200, {"rows": rows, "ver": self.ver})
+                return
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except TimeoutError:
+                continue
+
+
+class Worker(Server):
+    """A worker that runs each task for `run_ms`."""
+
+    def __init__(self, name, run_ms=150):
+        super().__init__()
+        self.name = name
+        self.run_ms = run_ms
+        self.runs = {}
+        self.ends = []
+        self.started = []
+        self.answer = None
+
+    def entry(self, **fields):
+        return {
+            "service": "hub",
+            "addr": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "capacity": 8,
+            "state": "ready",
+            "room": {"cpu": 16_000, "mem_mb": 32_768, "gpus": 0},
+            "labels": ["a", "r1-1"],
+            "born": 7,
+            "seq": 1,
+            **fields,
+        }
+
+    def handle(self, req, body):
+        expected = req.headers.get("Skylarklug-Expect-Instance")
+        if expected not in (None, self.name):
+            respond(req, 421, {})
+        elif self.answer:
+            status, fields = self.answer
+            respond(req, status, {"clock_ms": now_ms(), **fields})
+        elif req.path == "/api/hold":
+            asyncio.ensure_future(self.hold(req, body))
+        else:
+            if req.path == "/api/run-start":
+                self.start(body)
+            elif req.path == "/api/run-stop":
+                self.end(body["task"], "stopped")
+            respond(req, 200, {"clock_ms": now_ms()})
+
+    def start(self, body):
+        name = body["task"]
+        if name in self.runs:
+            return
+        self.runs[name] = [name, body["attempt"], "", 0, 900]
+        self.started.append(body)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.run_ms / 1000, self.end, name, "done")
+
+    def end(self, name, how):
+        run = self.runs.pop(name, None)
+        if run is not None:
+            number = len(self.started) + 1_000 * len(self.ends)
+            self.ends.append([number, name, run[1], how, ""])
+
+    async def hold(self, req, body):
+        end = now_ms() + body["wait_ms"]
+        seen = body["last_seen"]
+        while now_ms() < end:
+            if any(row[0] > seen for row in self.ends):
+                break
+            await asyncio.sleep(0.01)
+        self.ends = [row for row in self.ends if row[0] > seen]
+        fields = {
+            "clock_ms": now_ms(),
+            "born": 7,
+            "running": list(self.runs.values()),
+            "ended_runs": self.ends,
+        }
+        respond(req, 200, fields)
+
+
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "batch",
+            "host": "hub.example",
+            "prefix": "/batch/",
+            "kind": "mutating",
+            "timeout_ms": 3_000,
+            "slo_ms": 300,
+            "priority": 0,
+            "service": "hub",
+            "max_attempts": 2,
+            "stretch": 1.5,
+        }
+    ],
+    "services": [{"name": "hub", "enforces_capacity": True}],
+    "limits": {"max_body_bytes": 262_144},
+}
+
+
+def settings(store, front, ready, ports):
+    """Returns the settings file of a process."""
+    return {
+        "node": "frontend-1",
+        "role": "scheduler",
+        "ip": "127.0.0.1",
+        "zone": "z1",
+        "listen": {"front": front, "ready": ready},
+        "port_range": ports,
+        "bounds": {
+            "max_hold_ms": 6_000,
+            "grace_s": 6,
+            "gang_timeout_ms": 3_000,
+            "finish_s": 14,
+            "status_s": 120,
+            "far_factor": 2,
+            "harm_ms": 4_000,
+        },
+        "platform": {"addr": store},
+        "cloud": {"addr": "127.0.0.1:1"},
+        "advice": "127.0.0.1:1",
+        "something_new": {"ignored": True},
+    }
