--- a/packages/core/src/skylarklug/scheduler/effects.py
+++ b/packages/core/src/skylarklug/scheduler/effects.py
@@ -106,18 +106,6 @@
     timeout_ms: int
 
 
-class PaceRun(NamedTuple):
-    """Let a run use `percent` of its processor time."""
-
-    worker: str
-    address: str
-    epoch: int
-    key: records.TaskKey
-    attempt: int
-    percent: int
-    timeout_ms: int
-
-
 class AskAdvice(NamedTuple):
     """Ask which of these workers may run a step."""
 
--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -137,7 +137,7 @@
 
 
 class OrderAnswered(NamedTuple):
-    """A worker answered an order (`op` is "look", "start", "stop", "pace").
+    """A worker answered an order (`op` is "look", "start" or "stop").
 
     `result` is "ok", "refused" (nothing was done), "rejected" with a reason,
     "reborn" (another life of the worker answered) or "unknown".
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -1,4 +1,4 @@
-"""Orders to workers: start, stop, pace, and what becomes of them."""
+"""Orders to workers: start, stop, and what becomes of them."""
 
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
@@ -59,7 +59,6 @@
     task.confirmed_at = 0
     task.orders = 0
     task.percent = 0
-    task.pace = 100
     task.missing = 0
     task.progress_at = state.now
     task.ticket = ticket
@@ -161,23 +160,6 @@
     )
 
 
-def pace(state, effects, task, worker, percent):
-    """Sets the share of the processor that a run may use."""
-    task.pace = percent
-    task.paced_at = state.now
-    effects.append(
-        fx.PaceRun(
-            worker.name,
-            worker.entry.address,
-            state.shard.epoch,
-            task.key,
-            task.attempt,
-            percent,
-            ORDER_TIMEOUT_MS,
-        )
-    )
-
-
 def release(state, effects, task, worker, rest_ms=0):
     """Notes that a run is gone; the task waits again unless it has ended."""
     shard = state.shard
@@ -207,9 +189,6 @@
     if event.result == "rejected" and event.reason == "fence":
         suspect_take_over(state, effects, event.worker)
         return
-    if event.op == "pace":
-        _on_pace_answer(state, event, effects)
-        return
     task = shard.unsettled.get(event.key)
     if task is None or task.worker != event.worker:
         return
@@ -273,7 +252,14 @@
         worker.rest_until = state.now + REFUSED_REST_MS
     if event.reason == "ticket":
         task.job.tickets.pop((task.key.occurrence, task.key.step), None)
-    if task.orders > 1 and event.reason != "old":
+    if task.orders > 1 and event.reason == "old":
+        # The first order was carried out and its run has ended: the end comes
+        # with the next looks, or two of them show that there is none.
+        task.status = state_lib.WORKING
+        task.confirmed_at = state.now
+        state.shard.unsettled.pop(task.key, None)
+        return
+    if task.orders > 1:
         # An earlier order of this attempt may still be carried out; stopping
         # the attempt makes the worker reject it from then on.
         stop(state, effects, task, f"start rejected: {event.reason}")
@@ -281,16 +267,6 @@
     release(state, effects, task, worker, RETRY_PLACEMENT_MS)
 
 
-def _on_pace_answer(state, event, effects):
-    job = state.shard.jobs.get(event.key.job)
-    task = None if job is None else job.tasks.get(event.key)
-    if task is None or task.attempt != event.attempt:
-        return
-    if event.result != "ok":
-        # Unknown what the worker uses now: the next round sends it again.
-        task.pace = -1
-
-
 def mark_started(shard, job):
     """Notes the first start of a job, for clients that ask."""
     if not job.started:
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -22,6 +22,10 @@
 SHORT_MEMORY_MS = 30_000
 # A lasting task may be without a run for three seconds while there is room.
 LASTING_WAIT_MS = 2_000
+# A job of which nothing runs starts a task after this time wherever it
+# disturbs least, while less than this share of the service is asked for.
+STARVED_MS = 1_200
+IDLE_USE = 0.6
 # A task waits this long for another worker than one that it failed on, or
 # that fails most of what it starts.
 AVOID_MS = 1_500
@@ -99,6 +103,31 @@
     return fits < 2
 
 
+def _may_risk(state, task, risk):
+    """Whether a filling task may start where it may disturb."""
+    if risk <= TRIAL_RISK:
+        return True
+    if risk <= RISK_LIMIT and interference.may_try(state, task.step.image):
+        return True
+    # With half of the service idle no job may stand still.
+    if state.now - task.wanted_at < STARVED_MS:
+        return False
+    if any(other.worker for other in task.job.tasks.values()):
+        return False
+    return state.shard.use < IDLE_USE
+
+
+def _measure_use(shard):
+    """Returns the share of all processors that tasks ask for."""
+    asked = 0
+    room = 0
+    for worker in shard.workers.values():
+        if worker.listed:
+            asked += worker.used[0] + worker.fill_cpu
+            room += worker.entry.room.cpu
+    return asked / room if room else 1.0
+
+
 def _score(state, worker, task, reserve):
     """Returns a sort key, smallest best, or None when it does not fit."""
     step = task.step
@@ -116,11 +145,8 @@
         if spare < step.need.cpu // 2:
             return None
         worst, risk = interference.risk(state, worker, step.image)
-        if worst > RISK_LIMIT:
+        if not _may_risk(state, task, worst):
             return None
-        if worst > TRIAL_RISK:
-            if not interference.may_try(state, step.image):
-                return None
         return (suspect, near, worst > TRIAL_RISK, round(risk, 1), -spare)
     room = worker.entry.room.cpu
     free = room - worker.used[0] - step.need.cpu
@@ -173,6 +199,7 @@
 def place(state, effects):
     """Starts what fits, in the order of priority and deadline."""
     shard = state.shard
+    shard.use = _measure_use(shard)
     groups = sorted(
         shard.ready.values(), key=lambda group: _group_order(state, group)
     )
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -32,7 +32,6 @@
         confirmed_at: When the worker first confirmed the run.
         percent: Progress, as the worker reports it.
         gauge: Tail in ms, or processor in use.
-        pace: Share of the processor in percent that the worker was told.
     """
 
     __slots__ = (
@@ -50,8 +49,6 @@
         "not_before",
         "order_at",
         "orders",
-        "pace",
-        "paced_at",
         "percent",
         "progress_at",
         "status",
@@ -81,8 +78,6 @@
         self.progress_at = 0
         self.gauge = 0.0
         self.gauge_at = 0
-        self.pace = 100
-        self.paced_at = 0
         self.missing = 0
         self.wanted_at = 0
 
@@ -258,6 +253,7 @@
         self.place_soon = False
         self.place_at = 0
         self.short_until = 0
+        self.use = 0.0
         self.work_rows: dict[str, Any] = {}
         self.roster: set[str] = set()
         self.roster_saved: set[str] = set()
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -25,7 +25,7 @@
 
     Attributes:
         store: `commit`, `read_row`, `scan`, `changes`.
-        workers: `look`, `start`, `stop`, `pace`.
+        workers: `look`, `start`, `stop`.
         callers: `answer`, `set_ready`, `close`.
         advice: `ask`.
         machines: `list`, `begin_upkeep`, `report`.
@@ -84,7 +84,6 @@
             fx.Log: self._log_effect,
             fx.Look: self._look,
             fx.Measure: self._measure,
-            fx.PaceRun: self._pace,
             fx.ReadRows: self._read,
             fx.ReportWave: self._report_wave,
             fx.SetReady: self._set_ready,
@@ -282,9 +281,6 @@
     def _stop_run(self, effect):
         self._spawn(self._run_order("stop", effect))
 
-    def _pace(self, effect):
-        self._spawn(self._run_order("pace", effect))
-
     async def _run_order(self, op, effect):
         sent_at = boot_ms()
         send = getattr(self._ports.workers, op)
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -110,6 +110,8 @@
         self.tails = {}
         # Number of coming starts that are carried out without an answer.
         self.unanswered_starts = 0
+        # Answers to looks are this much late.
+        self.slow_looks_ms = 0
         self.start_life(born)
 
     def start_life(self, born):
@@ -145,7 +147,7 @@
         run = self.runs.pop(key, None)
         if run is None:
             return
-        attempt, _, checkpoint, _ = run
+        attempt, _, checkpoint = run
         self.blocked[key] = max(self.blocked.get(key, 0), attempt)
         number = self.seen + len(self.ends) + 1
         if self.ends:
@@ -182,8 +184,7 @@
             if end.how == "done":
                 self.sim.noted.add((end.key, end.attempt))
         running = []
-        for key, (attempt, _, checkpoint, pace) in self.runs.items():
-            del pace
+        for key, (attempt, _, checkpoint) in self.runs.items():
             gauge = self.tails.get(key.job, 0)
             running.append(
                 records.RunReport(key, attempt, checkpoint, 50, gauge)
@@ -204,7 +205,7 @@
             return "rejected", "old"
         self.sim.check_start(self, effect)
         started = self.sim.now
-        run = (effect.attempt, started, effect.checkpoint, 100)
+        run = (effect.attempt, started, effect.checkpoint)
         self.runs[effect.key] = run
         self.sim.starts.append((started, effect.key, effect.attempt, self.name))
         lasting = self.sim.is_lasting(effect.key)
@@ -228,7 +229,7 @@
         )
         run = self.runs.get(effect.key)
         if run is not None and run[0] == effect.attempt:
-            saved = (run[0], run[1], f"saved-{self.sim.now}", run[3])
+            saved = (run[0], run[1], f"saved-{self.sim.now}")
             self.runs[effect.key] = saved
 
             def finish():
@@ -238,10 +239,6 @@
             self.sim.after(STOP_MS, finish)
         return "ok", ""
 
-    def pace(self, effect):
-        del effect
-        return "ok", ""
-
 
 class Node:
     """One node: a reducer and what it follows."""
@@ -478,9 +475,6 @@
     def on_StopRun(self, node, effect):  # noqa: N802
         self.order_worker(node, effect, "stop")
 
-    def on_PaceRun(self, node, effect):  # noqa: N802
-        self.order_worker(node, effect, "pace")
-
     def order_worker(self, node, effect, op):
         sent_at = self.now
         key = getattr(effect, "key", None)
@@ -523,6 +517,8 @@
                 return
             found = getattr(worker, op)(effect)
             wait = LINK_MS
+            if op == "look":
+                wait += worker.slow_looks_ms
             if op == "look" and found[0] == "ok" and effect.wait_ms:
                 wait += 0 if found[2][3] else 200
             answer(wait, *found)
--- a/tests/scheduler/test_faults.py
+++ b/tests/scheduler/test_faults.py
@@ -17,6 +17,20 @@
         assert len(sim.starts) == 4
         assert sim.state_of(1) == "done"
 
+    def test_run_that_ended_before_its_start_was_confirmed(self, deployment):
+        """Guards against a second run when the repeated start is rejected
+        because the first one has run and ended."""
+        sim = deployment()
+        for worker in sim.workers.values():
+            worker.unanswered_starts = 1
+            worker.run_ms = 50
+            worker.slow_looks_ms = 1_500
+        sim.submit(1, fakes.step(4, cpu=9_000))
+        sim.run(10_000)
+        assert not sim.find_problems()
+        assert len(sim.starts) == 4
+        assert sim.state_of(1) == "done"
+
     def test_commit_that_took_effect_unseen(self, deployment):
         """Guards against progress that stays behind a lost answer."""
         sim = deployment()
