Ask for advice where a queue needs it, and carry out waves of upkeep

Advice: tickets by worker and life, one call at a time, asked again when it fails. Waves: a machine is emptied within its steps' may_miss, goes down, and counts until it is listed as up again; a new leader orders upkeep again, which is safe.

--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -1,5 +1,6 @@
 """Where waiting tasks start."""
 
+from skylarklug.scheduler import advice
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import gangs
@@ -48,6 +49,8 @@
         entry = worker.entry
         if entry.service != service or entry.draining or not worker.listed:
             continue
+        if worker.closed:
+            continue
         if worker.name not in shard.roster_saved:
             continue
         if not worker.answers(state.now) or state.now < worker.rest_until:
@@ -58,6 +61,14 @@
     return found
 
 
+def _allowed(state, effects, task):
+    """Returns the workers that may run the task by label and by advice."""
+    candidates = _candidates(state, task)
+    if not advice.is_needed(state, task.job):
+        return candidates
+    return advice.filter_workers(state, effects, task, candidates)
+
+
 def _has_room(worker, step):
     need = step.need
     room = worker.entry.room
@@ -229,7 +240,7 @@
         if not _may_start(state, task):
             continue
         if candidates is None:
-            candidates = _candidates(state, task)
+            candidates = _allowed(state, effects, task)
         candidates = _same_rack(task, candidates)
         worker = _choose(state, task, candidates)
         if worker is None:
@@ -240,7 +251,14 @@
             if interference.risk(state, worker, image)[0] > TRIAL_RISK:
                 shard.tried[image] = state.now
         attempt = orders.next_attempt(shard, task)
-        orders.start(state, effects, task, worker, attempt)
+        _start(state, effects, task, worker, attempt)
+
+
+def _start(state, effects, task, worker, attempt):
+    ticket = ""
+    if advice.is_needed(state, task.job):
+        ticket = advice.ticket_for(state, task, worker)
+    orders.start(state, effects, task, worker, attempt, ticket)
 
 
 def _same_rack(task, candidates):
@@ -271,7 +289,7 @@
     for task in members:
         if not _may_start(state, task):
             return
-    candidates = _candidates(state, first)
+    candidates = _allowed(state, effects, first)
     attempt = max(orders.next_attempt(shard, task) for task in members)
     chosen = []
     for task in members:
@@ -288,7 +306,7 @@
     for task, worker in chosen:
         jobs.drop_ready(shard, task)
         task.checkpoint = checkpoint
-        orders.start(state, effects, task, worker, attempt)
+        _start(state, effects, task, worker, attempt)
 
 
 def _common_checkpoint(members):
--- a/packages/core/src/skylarklug/scheduler/reducer.py
+++ b/packages/core/src/skylarklug/scheduler/reducer.py
@@ -1,5 +1,6 @@
 """The scheduler's reducer: one function from state and event to effects."""
 
+from skylarklug.scheduler import advice
 from skylarklug.scheduler import intake
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
@@ -10,6 +11,7 @@
 from skylarklug.scheduler import records
 from skylarklug.scheduler import state as state_lib
 from skylarklug.scheduler import store
+from skylarklug.scheduler import upkeep
 from skylarklug.scheduler import workers
 
 # The order fixes which module sees an event first. Answers of the store and
@@ -22,6 +24,8 @@
     jobs,
     orders,
     workers,
+    advice,
+    upkeep,
     placement,
     progress,
 )
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -147,6 +147,7 @@
         unsaved: Ends that are not committed yet: number to job.
         granted_at: When the newest order that renews its lease was sent.
         answered_at: When it last answered.
+        closed: It is being emptied and takes no new task.
         reborn: It has started again since the last look.
         blame: Recent failed ends there, of different jobs.
     """
@@ -157,6 +158,7 @@
         "blame",
         "born",
         "clock",
+        "closed",
         "departed",
         "disturbed_since",
         "entry",
@@ -205,6 +207,7 @@
         self.faulty_until = 0
         self.rest_until = 0
         self.reborn = False
+        self.closed = False
 
     def answers(self, now: int) -> bool:
         """Whether it has answered lately under this leader's epoch."""
@@ -264,6 +267,13 @@
         self.pairs: dict[tuple[str, str], tuple[float, int]] = {}
         self.tried: dict[str, int] = {}
         self.lowest_tail: dict[str, float] = {}
+        self.advising = False
+        self.waves: dict[int, Any] = {}
+        self.machines: dict[str, records.Machine] | None = None
+        self.machines_at = 0
+        self.listing = False
+        self.list_at = 0
+        self.upkeep_at = 0
         self.beating = False
         self.beat_at = 0
 
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -18,17 +18,19 @@
 
 LEADER_TICK_MS = 25
 FOLLOWER_TICK_MS = 150
+# Time for a report to the operator, and until it is tried again.
+REPORT_MS = 1_000
 
 
 class Ports(NamedTuple):
     """What the scheduler reaches the outside through.
 
     Attributes:
-        store: `commit`, `read_row`, `scan`, `changes`.
+        store: `commit`, `read_row`, `scan`, `changes`, `report_wave`.
         workers: `look`, `start`, `stop`.
         callers: `answer`, `set_ready`, `close`.
         advice: `ask`.
-        machines: `list`, `begin_upkeep`, `report`.
+        machines: `list`, `begin_upkeep`.
         rows: Turns rows of a followed table into an event.
     """
 
@@ -333,4 +335,8 @@
         )
 
     def _report_wave(self, effect):
-        self._spawn(self._ports.machines.report(effect))
+        self._spawn(self._run_report(effect))
+
+    async def _run_report(self, effect):
+        while not await self._ports.store.report_wave(effect, REPORT_MS):
+            await asyncio.sleep(REPORT_MS / 1000)
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -107,7 +107,6 @@
         self.draining = False
         self.run_ms = 500
         self.fail = set()
-        self.tails = {}
         # Number of coming starts that are carried out without an answer.
         self.unanswered_starts = 0
         # Answers to looks are this much late.
@@ -185,9 +184,10 @@
                 self.sim.noted.add((end.key, end.attempt))
         running = []
         for key, (attempt, _, checkpoint) in self.runs.items():
-            gauge = self.tails.get(key.job, 0)
+            gauge = self.sim.tails_of(self.sim, self, key)
+            percent = 100 if self.sim.is_lasting(key) else 50
             running.append(
-                records.RunReport(key, attempt, checkpoint, 50, gauge)
+                records.RunReport(key, attempt, checkpoint, percent, gauge)
             )
         look = (self.born, self.sim.now, tuple(running), tuple(self.ends))
         return "ok", "", look
@@ -207,6 +207,8 @@
         started = self.sim.now
         run = (effect.attempt, started, effect.checkpoint)
         self.runs[effect.key] = run
+        if effect.ticket:
+            self.sim.tickets.append((self.name, effect.ticket))
         self.sim.starts.append((started, effect.key, effect.attempt, self.name))
         lasting = self.sim.is_lasting(effect.key)
         failing = effect.key.job in self.fail or "*" in self.fail
@@ -284,6 +286,15 @@
         self.problems = []
         self.workers = {}
         self.cut = set()
+        self.tails_of = lambda sim, worker, key: 0
+        # Tickets by worker, None while the advice does not answer.
+        self.advised = {}
+        self.tickets = []
+        self.down = {}
+        self.most_down = 0
+        self.upkeeps = []
+        self.ended_by_upkeep = []
+        self.reports = []
         self.nodes = {}
         for number in range(workers):
             worker = Worker(self, f"w{number}")
@@ -525,6 +536,65 @@
 
         self.after(LINK_MS, arrive)
 
+    def on_AskAdvice(self, node, effect):  # noqa: N802
+        given = self.advised
+        tickets = {}
+        for name in effect.workers:
+            if given and name in given:
+                tickets[name] = given[name]
+        self.deliver(
+            node,
+            50,
+            lambda at: events.AdviceGiven(
+                at,
+                effect.job,
+                effect.occurrence,
+                effect.step,
+                given is not None,
+                effect.workers,
+                tickets,
+                2_000,
+            ),
+        )
+
+    def on_ListMachines(self, node, effect):  # noqa: N802
+        del effect
+        machines = []
+        for name in self.workers:
+            state = "upkeep" if f"m-{name}" in self.down else "up"
+            machines.append(records.Machine(f"m-{name}", SERVICE, state, name))
+        self.deliver(
+            node,
+            STORE_MS,
+            lambda at: events.MachinesListed(at, True, tuple(machines)),
+        )
+
+    def on_BeginUpkeep(self, node, effect):  # noqa: N802
+        machine = effect.machine
+        worker = self.workers[machine.removeprefix("m-")]
+        if machine not in self.upkeeps:
+            self.upkeeps.append(machine)
+            self.ended_by_upkeep.extend(worker.runs)
+            self.down[machine] = True
+            self.most_down = max(self.most_down, len(self.down))
+
+            def back():
+                del self.down[machine]
+                worker.crash(worker.born + 1)
+                self.list_workers()
+
+            self.after(2_000, back)
+        self.deliver(
+            node,
+            STORE_MS,
+            lambda at: events.UpkeepAnswered(at, machine, "ok", ""),
+        )
+
+    def on_ReportWave(self, node, effect):  # noqa: N802
+        del node
+        if effect.state not in self.reports[-1:]:
+            self.reports.append(effect.state)
+
     # -------------------------------------------------------------- clients
 
     def submit(self, number, *steps, node=None, **fields):
