--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -18,6 +18,13 @@
     wall_ms: int
 
 
+class SettingsRead(NamedTuple):
+    """The process has read its settings again, and they have changed."""
+
+    at: int
+    cfg: records.Settings
+
+
 class StopRequested(NamedTuple):
     """The process has been asked to stop gracefully."""
 
--- a/packages/core/src/skylarklug/scheduler/lifecycle.py
+++ b/packages/core/src/skylarklug/scheduler/lifecycle.py
@@ -37,6 +37,15 @@
     effects.append(fx.Log("info", "ready", {"ready": ready, "reason": reason}))
 
 
+def _on_settings(state, event, effects):
+    changed = []
+    for name in event.cfg._fields:
+        if getattr(event.cfg, name) != getattr(state.cfg, name):
+            changed.append(name)
+    state.cfg = event.cfg
+    effects.append(fx.Log("info", "settings", {"changed": changed}))
+
+
 def _on_stop(state, event, effects):
     if state.stopping_at:
         return
@@ -72,6 +81,7 @@
 
 HANDLERS = {
     events.ConfigurationRead: _on_configuration,
+    events.SettingsRead: _on_settings,
     events.StopRequested: _on_stop,
     events.Tick: _on_tick,
 }
