--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -24,7 +24,7 @@
 # A lasting task may be without a run for three seconds while there is room.
 LASTING_WAIT_MS = 2_000
 # A job of which nothing runs starts a task after this time wherever it
-# disturbs least, while less than this share of the service is asked for.
+# disturbs least, while less than this share of the processors is claimed.
 STARVED_MS = 1_200
 IDLE_USE = 0.6
 # A task waits this long for another worker than one that it failed on, or
@@ -114,27 +114,29 @@
     return fits < 2
 
 
+def _is_starved(state, task):
+    """Whether nothing of a job runs, and half of its service is idle."""
+    if state.shard.use >= IDLE_USE:
+        return False
+    if state.now - task.wanted_at < STARVED_MS:
+        return False
+    return not any(other.worker for other in task.job.tasks.values())
+
+
 def _may_risk(state, task, risk):
     """Whether a filling task may start where it may disturb."""
     if risk <= TRIAL_RISK:
         return True
-    if risk <= RISK_LIMIT and interference.may_try(state, task.step.image):
-        return True
-    # With half of the service idle no job may stand still.
-    if state.now - task.wanted_at < STARVED_MS:
-        return False
-    if any(other.worker for other in task.job.tasks.values()):
-        return False
-    return state.shard.use < IDLE_USE
+    return risk <= RISK_LIMIT and interference.may_try(state, task.step.image)
 
 
 def _measure_use(shard):
-    """Returns the share of all processors that tasks ask for."""
+    """Returns the share of all processors that tasks claim."""
     asked = 0
     room = 0
     for worker in shard.workers.values():
         if worker.listed:
-            asked += worker.used[0] + worker.fill_cpu
+            asked += worker.used[0]
             room += worker.entry.room.cpu
     return asked / room if room else 1.0
 
@@ -152,13 +154,7 @@
     if suspect and state.now - task.wanted_at < AVOID_MS:
         return None
     if step.fills:
-        spare = _spare_cpu(worker)
-        if spare < step.need.cpu // 2:
-            return None
-        worst, risk = interference.risk(state, worker, step.image)
-        if not _may_risk(state, task, worst):
-            return None
-        return (suspect, near, worst > TRIAL_RISK, round(risk, 1), -spare)
+        return _score_filling(state, worker, task, (suspect, near))
     room = worker.entry.room.cpu
     free = room - worker.used[0] - step.need.cpu
     if step.lasting:
@@ -174,6 +170,17 @@
     return (suspect, near, free)
 
 
+def _score_filling(state, worker, task, first):
+    spare = _spare_cpu(worker)
+    worst, risk = interference.risk(state, worker, task.step.image)
+    if not _is_starved(state, task):
+        if spare < task.step.need.cpu // 2:
+            return None
+        if not _may_risk(state, task, worst):
+            return None
+    return (*first, worst > TRIAL_RISK, round(risk, 1), -spare)
+
+
 def _choose(state, task, candidates):
     best = None
     chosen = None
--- a/tests/scheduler/test_policy.py
+++ b/tests/scheduler/test_policy.py
@@ -104,3 +104,23 @@
         if not step.target_ms:
             return 900
         return 400 if "loud" in images else 60
+
+    def test_no_job_stands_still_while_the_service_is_idle(self, deployment):
+        """Guards against filling jobs that wait because every worker has a
+        task that they would disturb, or because others fill there."""
+        sim = deployment(workers=3)
+        serving = fakes.step(
+            3, cpu=1_000, lasting=True, image="web", target_ms=150
+        )
+        sim.submit(1, serving)
+        sim.run(1_000)
+        shard = sim.leader().state.shard
+        shard.pairs["web", "loud"] = (0.98, sim.now)
+        for worker in sim.workers.values():
+            worker.run_ms = 60_000
+        for number in range(2, 9):
+            step = fakes.step(2, cpu=7_000, fills=True, image="loud")
+            sim.submit(number, step)
+        sim.run(3_500)
+        for number in range(2, 9):
+            assert sim.running(number)
