--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -123,14 +123,6 @@
     removed: tuple[str, ...]
 
 
-class FeedLost(NamedTuple):
-    """A followed table could not be read for a while, or can be again."""
-
-    at: int
-    table: str
-    lost: bool
-
-
 class WorkerLooked(NamedTuple):
     """A worker answered a `Look`. `clock_ms` is its clock at the answer."""
 
--- a/packages/core/src/skylarklug/scheduler/lifecycle.py
+++ b/packages/core/src/skylarklug/scheduler/lifecycle.py
@@ -19,7 +19,6 @@
     fields = {
         "version": event.cfg.version,
         "queues": len(event.cfg.queues),
-        "services": len(event.cfg.services),
     }
     effects.append(fx.Log("info", "configuration", fields))
     _update_ready(state, effects)
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -60,7 +60,6 @@
     task.orders = 0
     task.percent = 0
     task.missing = 0
-    task.progress_at = state.now
     task.ticket = ticket
     occupy(worker, task)
     interference.note_change(state, worker, task)
--- a/packages/core/src/skylarklug/scheduler/records.py
+++ b/packages/core/src/skylarklug/scheduler/records.py
@@ -103,7 +103,6 @@
     max_attempts: int
     stretch: float
     objective_ms: int
-    timeout_ms: int
     advice: Advice | None
 
 
@@ -112,8 +111,6 @@
 
     version: int
     queues: dict[str, Queue]
-    services: dict[str, bool]
-    max_body_bytes: int
 
     def match(self, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest prefix of the path, or None."""
@@ -186,9 +183,5 @@
     zone: str
     incarnation: int
     max_lease_ms: int
-    gang_timeout_ms: int
-    finish_ms: int
-    harm_ms: int
     stop_grace_ms: int
     status_ms: int
-    far_factor: float
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -50,7 +50,6 @@
         "order_at",
         "orders",
         "percent",
-        "progress_at",
         "status",
         "step",
         "ticket",
@@ -75,7 +74,6 @@
         self.orders = 0
         self.confirmed_at = 0
         self.percent = 0
-        self.progress_at = 0
         self.gauge = 0.0
         self.gauge_at = 0
         self.missing = 0
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -225,9 +225,7 @@
         orders.mark_started(shard, task.job)
     if report.checkpoint:
         task.checkpoint = report.checkpoint
-    if report.percent != task.percent:
-        task.percent = report.percent
-        task.progress_at = state.now
+    task.percent = report.percent
     task.gauge = report.gauge
     task.gauge_at = state.now
 
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -24,12 +24,9 @@
     max_attempts=2,
     stretch=2.0,
     objective_ms=1_000,
-    timeout_ms=3_000,
     advice=None,
 )
-CONFIGURATION = records.Configuration(
-    1, {"batch": QUEUE}, {SERVICE: False}, 262_144
-)
+CONFIGURATION = records.Configuration(1, {"batch": QUEUE})
 
 
 def job_id(number):
@@ -251,12 +248,8 @@
             zone="z1",
             incarnation=incarnation,
             max_lease_ms=MAX_LEASE_MS,
-            gang_timeout_ms=3_000,
-            finish_ms=14_000,
-            harm_ms=4_000,
             stop_grace_ms=6_000,
             status_ms=120_000,
-            far_factor=2.0,
         )
         self.sim = sim
         self.name = name
--- a/tests/scheduler/test_jobs.py
+++ b/tests/scheduler/test_jobs.py
@@ -288,9 +288,7 @@
     def test_longest_prefix_wins_and_older_versions_are_ignored(self):
         """Guards against a request in the wrong queue or an older one."""
         short = fakes.QUEUE._replace(name="short", prefix="/b")
-        cfg = records.Configuration(
-            2, {"short": short, "batch": fakes.QUEUE}, {}, 0
-        )
+        cfg = records.Configuration(2, {"short": short, "batch": fakes.QUEUE})
         host = fakes.QUEUE.host
         assert cfg.match(host, "/batch/x").name == "batch"
         assert cfg.match(host, "/b/x").name == "short"
--- a/tests/scheduler/test_policy.py
+++ b/tests/scheduler/test_policy.py
@@ -11,7 +11,7 @@
         sim.advised = {"w1": "t1", "w3": "t3"}
         advice = records.Advice(10, 2, 2_000)
         queue = fakes.QUEUE._replace(advice=advice)
-        cfg = records.Configuration(2, {"batch": queue}, {}, 0)
+        cfg = records.Configuration(2, {"batch": queue})
         for node in sim.nodes.values():
             sim.dispatch(node, events.ConfigurationRead(sim.now, cfg))
         sim.submit(1, fakes.step(6, cpu=9_000))
@@ -25,7 +25,7 @@
         sim = deployment(workers=2)
         sim.advised = None
         queue = fakes.QUEUE._replace(advice=records.Advice(10, 2, 2_000))
-        cfg = records.Configuration(2, {"batch": queue}, {}, 0)
+        cfg = records.Configuration(2, {"batch": queue})
         for node in sim.nodes.values():
             sim.dispatch(node, events.ConfigurationRead(sim.now, cfg))
         sim.submit(1, fakes.step())
