Keep one copy of what the scheduler wrote twice

Cause: a second reading found the same effect types in both reducers, the same read of a job's row for two calls, the same stop order, owner row, set of serving images and test of complete books written twice, and the load of a job computed twice a look; also a branch without effect, a loop that another one covers, and two fields that nobody read. Change: each has one piece now; jobs no longer imports leadership. Behaviour is as before; no test changed.

--- a/packages/core/src/skylarklug/scheduler/effects.py
+++ b/packages/core/src/skylarklug/scheduler/effects.py
@@ -4,8 +4,14 @@
 from typing import Any
 from typing import NamedTuple
 
+from skylarklug import effects
 from skylarklug.scheduler import records
 
+# Both reducers leave these effects alike.
+Log = effects.Log
+Measure = effects.Measure
+SetReady = effects.SetReady
+
 
 class Answer(NamedTuple):
     """Answer a client. `retry_after_s` is 0 when absent."""
@@ -135,30 +141,7 @@
     state: str
 
 
-class SetReady(NamedTuple):
-    """Set what the readiness check answers."""
-
-    ready: bool
-    reason: str
-
-
 class Exit(NamedTuple):
     """End the process."""
 
     reason: str
-
-
-class Log(NamedTuple):
-    """One log line; `level` is "info", "warning" or "error"."""
-
-    level: str
-    event: str
-    fields: Mapping[str, Any]
-
-
-class Measure(NamedTuple):
-    """Add `value` to the metric `name` with these attributes."""
-
-    name: str
-    value: float
-    attributes: Mapping[str, str]
--- a/packages/core/src/skylarklug/scheduler/intake.py
+++ b/packages/core/src/skylarklug/scheduler/intake.py
@@ -138,17 +138,17 @@
         waiting = state.beat.get("waiting", {}).get(queue.name, 0)
         _answer(state, effects, event.req, 200, {"waiting": waiting})
         return
+    done = functools.partial(_on_state_read, event.req, job)
+    _read_work(state, effects, event, job, done)
+
+
+def _read_work(state, effects, event, job, done):
+    """Reads how a job stands; a name that is no job's is answered at once."""
     if not _is_job_id(job):
         _answer(state, effects, event.req, 410)
         return
-    store.read(
-        state,
-        effects,
-        "work",
-        job,
-        functools.partial(_on_state_read, event.req, job),
-        _timeout_ms(event.deadline_ms),
-    )
+    timeout_ms = _timeout_ms(event.deadline_ms)
+    store.read(state, effects, "work", job, done, timeout_ms)
 
 
 def _on_state_read(req, job, state, effects, answer):
@@ -170,17 +170,8 @@
     if resolved is None:
         return
     _, job = resolved
-    if not _is_job_id(job):
-        _answer(state, effects, event.req, 410)
-        return
-    store.read(
-        state,
-        effects,
-        "work",
-        job,
-        functools.partial(_on_cancel_read, event.req, job, event.deadline_ms),
-        _timeout_ms(event.deadline_ms),
-    )
+    done = functools.partial(_on_cancel_read, event.req, job, event.deadline_ms)
+    _read_work(state, effects, event, job, done)
 
 
 def _on_cancel_read(req, job, deadline_ms, state, effects, answer):
--- a/packages/core/src/skylarklug/scheduler/interference.py
+++ b/packages/core/src/skylarklug/scheduler/interference.py
@@ -71,13 +71,9 @@
     found = worker.risks.get(filling)
     if found is not None:
         return found
-    images = set()
-    for task in worker.runs.values():
-        if task.step.target_ms:
-            images.add(task.step.image)
     clear = 1.0
     highest = 0.0
-    for image in sorted(images):
+    for image in sorted(_serving_images(worker)):
         value = belief(state, image, filling)
         highest = max(highest, value)
         clear *= 1 - value
@@ -92,12 +88,15 @@
 
 def count_other_images(worker, image: str) -> int:
     """Returns how many other images serve on a worker."""
+    return len(_serving_images(worker) - {image})
+
+
+def _serving_images(worker) -> set[str]:
     images = set()
     for task in worker.runs.values():
         if task.step.target_ms:
             images.add(task.step.image)
-    images.discard(image)
-    return len(images)
+    return images
 
 
 # -------------------------------------------------------------------- look
@@ -123,12 +122,12 @@
         if not present:
             _note_lowest(state.shard, task)
             continue
+        own = _own_load(state, task.job)
         if testing:
             worker.tested_at = state.now
-            _test(state, task, present, whole)
+            _test(state, task, own, present, whole)
         over = task.gauge / target
-        own = _own_load(state, task.job) or MAX_OWN_LOAD
-        if _load(state.shard, task) - own < QUIET_RISE:
+        if _load(state.shard, task) - (own or MAX_OWN_LOAD) < QUIET_RISE:
             continue
         if over > RELIEVE_AT and (worst is None or over > worst[0]):
             worst = (over, task)
@@ -192,8 +191,7 @@
     return min(MAX_OWN_LOAD, loads[len(loads) // 4])
 
 
-def _test(state, task, present, whole):
-    own = _own_load(state, task.job)
+def _test(state, task, own, present, whole):
     if own < TEST_LOAD:
         return
     rise = _load(state.shard, task) - own
@@ -226,7 +224,6 @@
 def _relieve(state, effects, worker, disturbed):
     """Stops the tasks that most likely disturb a task on their worker."""
     serving = disturbed.step.image
-    own = _own_load(state, disturbed.job)
     beliefs = {}
     for task in worker.runs.values():
         if task.step.fills and task.status == state_lib.WORKING:
@@ -251,7 +248,7 @@
         "image": serving,
         "tail_ms": disturbed.gauge,
         "target_ms": disturbed.step.target_ms,
-        "own_load": own,
+        "own_load": _own_load(state, disturbed.job),
         "for_ms": waited,
         "beliefs": [f"{k}:{v:.2f}" for k, v in sorted(beliefs.items())],
         "stopped": len(stopped),
--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -7,7 +7,6 @@
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import intake
-from skylarklug.scheduler import leadership
 from skylarklug.scheduler import orders
 from skylarklug.scheduler import records
 from skylarklug.scheduler import state as state_lib
@@ -19,11 +18,6 @@
 DUE_MARGIN_MS = 30
 
 
-def is_loaded(shard) -> bool:
-    """Whether the books hold all that former leaders left."""
-    return shard.loaded >= leadership.NEEDED_TABLES
-
-
 def queue_of(state, job) -> records.Queue | None:
     """Returns the queue of a job while the configuration has it."""
     return state.configuration.queues.get(job.spec.queue)
@@ -91,7 +85,7 @@
         return
     work = shard.work_rows.pop(row.key, None)
     version = row.version if work is None else work.version
-    job = state_lib.Job(spec, version, state.now)
+    job = state_lib.Job(spec, version)
     if work is not None:
         _restore(job, work.value)
     shard.jobs[spec.job] = job
--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -28,6 +28,11 @@
 NEEDED_TABLES = frozenset({"jobs", "work", "roster"})
 
 
+def is_loaded(shard) -> bool:
+    """Whether the books hold all that former leaders left."""
+    return shard.loaded >= NEEDED_TABLES
+
+
 def may_act(state) -> bool:
     """Whether this node leads and may still send orders."""
     shard = state.shard
@@ -82,6 +87,15 @@
     effects.append(fx.Log("warning", "leadership-lost", fields))
 
 
+def _owner_value(state, epoch, released):
+    return {
+        "node": state.cfg.node,
+        "incarnation": state.cfg.incarnation,
+        "epoch": epoch,
+        "released": released,
+    }
+
+
 def _is_mine(state, owner):
     return (
         owner is not None
@@ -119,10 +133,6 @@
     if shard is not None:
         if not _is_mine(state, owner) or owner["epoch"] != shard.epoch:
             step_down(state, effects, "another node took over")
-        return
-    if _is_mine(state, owner) and state.claiming:
-        # The answer to the claim was lost, or has not arrived yet.
-        return
 
 
 def _is_free(state):
@@ -163,12 +173,7 @@
             return
     state.claiming = True
     epoch = (state.owner or {}).get("epoch", 0) + 1
-    value = {
-        "node": state.cfg.node,
-        "incarnation": state.cfg.incarnation,
-        "epoch": epoch,
-        "released": False,
-    }
+    value = _owner_value(state, epoch, released=False)
     former = state.owner
     planned = _is_free(state)
 
@@ -264,7 +269,7 @@
             check_conflict(state, effects, answer)
 
     waiting = state.beat.get("waiting", {})
-    if shard.loaded >= NEEDED_TABLES:
+    if is_loaded(shard):
         waiting = _count_waiting(shard)
     value = {"epoch": shard.epoch, "waiting": waiting}
     store.commit(
@@ -290,12 +295,7 @@
     """Gives the leadership up, so that another node claims it at once."""
     shard = state.shard
     step_down(state, effects, "released")
-    value = {
-        "node": state.cfg.node,
-        "incarnation": state.cfg.incarnation,
-        "epoch": shard.epoch,
-        "released": True,
-    }
+    value = _owner_value(state, shard.epoch, released=True)
     store.commit(
         state,
         effects,
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -126,13 +126,17 @@
     worker = state.shard.workers[task.worker]
     task.order_at = state.now
     task.orders += 1
+    _order_stop(state, effects, worker, task.key, task.attempt)
+
+
+def _order_stop(state, effects, worker, key, attempt):
     effects.append(
         fx.StopRun(
             worker.name,
             worker.entry.address,
             state.shard.epoch,
-            task.key,
-            task.attempt,
+            key,
+            attempt,
             ORDER_TIMEOUT_MS,
         )
     )
@@ -147,16 +151,7 @@
         "reason": "not wanted",
     }
     effects.append(fx.Log("info", "stop", fields))
-    effects.append(
-        fx.StopRun(
-            worker.name,
-            worker.entry.address,
-            state.shard.epoch,
-            report.key,
-            report.attempt,
-            ORDER_TIMEOUT_MS,
-        )
-    )
+    _order_stop(state, effects, worker, report.key, report.attempt)
 
 
 def release(state, effects, task, worker, rest_ms=0):
@@ -268,8 +263,7 @@
 
 def mark_started(shard, job):
     """Notes the first start of a job, for clients that ask."""
-    if not job.started:
-        job.started = True
+    job.started = True
     if job.state == records.PENDING:
         job.state = records.RUNNING
         jobs.mark_dirty(shard, job)
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -343,7 +343,7 @@
 
 def _on_any(state, event, effects):
     shard = state.shard
-    if shard is None or not jobs.is_loaded(shard):
+    if shard is None or not leadership.is_loaded(shard):
         return
     if not leadership.may_act(state):
         return
--- a/packages/core/src/skylarklug/scheduler/progress.py
+++ b/packages/core/src/skylarklug/scheduler/progress.py
@@ -3,6 +3,7 @@
 from skylarklug.scheduler import codec
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
+from skylarklug.scheduler import intake
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
 from skylarklug.scheduler import records
@@ -39,7 +40,7 @@
     if job.state in records.FINAL_STATES:
         writes.append(fx.Write("jobs", name, None))
         if job.has_marker:
-            marker = name + jobs.intake.CANCEL_SUFFIX
+            marker = name + intake.CANCEL_SUFFIX
             writes.append(fx.Write("jobs", marker, None))
     return writes
 
@@ -115,7 +116,7 @@
     shard = state.shard
     if shard is None or not shard.dirty or shard.saving:
         return
-    if not leadership.may_act(state) or not jobs.is_loaded(shard):
+    if not leadership.may_act(state) or not leadership.is_loaded(shard):
         return
     if state.now < shard.save_at + GATHER_MS:
         return
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -104,7 +104,6 @@
         "has_marker",
         "left",
         "opened",
-        "seen_at",
         "spec",
         "started",
         "state",
@@ -113,10 +112,9 @@
         "version",
     )
 
-    def __init__(self, spec: records.JobSpec, version: int, seen_at: int):
+    def __init__(self, spec: records.JobSpec, version: int):
         self.spec = spec
         self.version = version
-        self.seen_at = seen_at
         self.state = records.PENDING
         self.begun = False
         self.started = False
--- a/packages/core/src/skylarklug/scheduler/upkeep.py
+++ b/packages/core/src/skylarklug/scheduler/upkeep.py
@@ -2,7 +2,6 @@
 
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
-from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
 from skylarklug.scheduler import orders
 from skylarklug.scheduler import state as state_lib
@@ -46,7 +45,7 @@
 
 def _on_tick(state, event, effects):
     shard = state.shard
-    if shard is None or not jobs.is_loaded(shard):
+    if shard is None or not leadership.is_loaded(shard):
         return
     if not leadership.may_act(state):
         return
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -292,7 +292,7 @@
 
 def _on_tick(state, event, effects):
     shard = state.shard
-    if shard is None or not jobs.is_loaded(shard):
+    if shard is None or not leadership.is_loaded(shard):
         return
     if "workers" not in shard.loaded:
         return
@@ -352,9 +352,6 @@
         return
     shard.settled = True
     shard.former = {}
-    for group in shard.ready.values():
-        for task in group.values():
-            task.held_until = 0
     for job in shard.jobs.values():
         for task in job.tasks.values():
             task.held_until = 0
--- a/packages/node/src/skylarklugd/client.py
+++ b/packages/node/src/skylarklugd/client.py
@@ -48,7 +48,6 @@
         self._pool = upstream.Pool(
             connections=connections, connect_timeout_ms=connect_timeout_ms
         )
-        self.calls = 0
 
     async def call(
         self, address, method, target, body, timeout_ms, headers=None
@@ -73,7 +72,6 @@
             fields["Content-Length"] = str(len(body))
         collector = _Collector()
         req = upstream.Request(method, target, fields, body or b"")
-        self.calls += 1
         exchange = self._pool.exchange(
             address, req, collector, timeout_ms=timeout_ms
         )
