--- a/packages/core/src/skylarklug/scheduler/effects.py
+++ b/packages/core/src/skylarklug/scheduler/effects.py
@@ -112,6 +112,18 @@
     timeout_ms: int
 
 
+class PaceRun(NamedTuple):
+    """Let a run work at `pace` percent of its full speed."""
+
+    worker: str
+    address: str
+    epoch: int
+    key: records.TaskKey
+    attempt: int
+    pace: int
+    timeout_ms: int
+
+
 class AskAdvice(NamedTuple):
     """Ask which of these workers may run a step."""
 
--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -136,7 +136,7 @@
 
 
 class OrderAnswered(NamedTuple):
-    """A worker answered an order (`op` is "look", "start" or "stop").
+    """A worker answered an order (`op` is "look", "start", "stop" or "pace").
 
     `result` is "ok", "refused" (nothing was done), "rejected" with a reason,
     "reborn" (another life of the worker answered) or "unknown".
--- a/packages/core/src/skylarklug/scheduler/interference.py
+++ b/packages/core/src/skylarklug/scheduler/interference.py
@@ -1,258 +1,247 @@
-"""Which images that fill disturb which images that serve.
-
-A serving task behaves like a queue: its tail is `idle / (1 - load)`, where
-`idle` is the tail without load. An image that disturbs it raises the load;
-the others leave it alone. The tasks of one job have the same load, so the
-lower quartile of their tails tells the load of an undisturbed one. Each look
-at a worker is then a group test of the images that fill there. The belief in
-each pair follows Bayes' rule over a noisy-or, so that a known culprit clears
-the others.
+"""Keeps filling tasks from disturbing the serving tasks beside them.
+
+Each look at a worker teaches `pressure` what disturbs whom, and sets how fast
+each filling task there may work: as fast as the serving tasks' loads allow
+until the next look. A filling task that is slowed down for long moves to a
+worker that lets it work.
 """
 
-from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import orders
+from skylarklug.scheduler import pressure
 from skylarklug.scheduler import state as state_lib
 
-# Targets are this many times the tail without load; a lower tail that was
-# seen corrects it.
-TARGET_OVER_IDLE = 6.0
-LOWEST_SEEN_SHARE = 0.85
-# Chance that an image disturbs another before anything is known.
-PRIOR = 0.15
-# Chance that a disturbing image shows in one test, and that a load is high
-# for another reason.
-DETECTION = 0.75
-FALSE_ALARM = 0.04
-FLOOR = 0.01
-# A belief returns towards the prior, since disturbance changes and an image
-# that is kept away gives no new evidence.
-HALF_LIFE_MS = 9_000
-# An image that may disturb is tried on one worker at a time.
-TRY_INTERVAL_MS = 1_200
-CEILING = 0.98
-# Rise of the load that counts as disturbed, and as not. At a low load
-# neither shows above the noise of a tail.
-DISTURBED_RISE = 0.2
-QUIET_RISE = 0.1
-TEST_LOAD = 0.4
-# Tails older than this say nothing about the load now.
-FRESH_MS = 1_200
-# Fewer tasks do not tell the undisturbed load from a disturbed one.
-MIN_TASKS = 3
-# A tail covers half a second, and a stopped task works on for a while.
-DEPARTED_MS = 1_000
-# Tests closer together than a tail's window say the same.
-TEST_INTERVAL_MS = 600
-# Share of its target above which a serving task is relieved, and belief from
-# which an image is stopped for it.
-RELIEVE_AT = 0.95
-CULPRIT = 0.5
-# With no clear culprit the likeliest is stopped after this time; a rule of
-# the platform allows `harm_ms` in all.
+# Load up to which filling tasks may raise a serving task's. The distance to
+# the limit covers errors of the estimates.
+TARGET_LOAD = pressure.LOAD_LIMIT - 0.01
+# A coefficient counts as this many standard deviations above its mean.
+CAUTION = 0.25
+# A pace holds until the next look, and a placement for about a task's life.
+PACE_AHEAD_MS = 1_200
+PLACEMENT_AHEAD_MS = 2_000
+# Smaller changes of a pace are not worth an order.
+PACE_STEP = 10
+# A tail over its target for this time is relieved at any cost. A rule of the
+# platform allows `harm_ms` in all.
 PATIENCE_MS = 1_500
-MIN_LOAD = 0.05
-MAX_LOAD = 0.97
-# Services are sized so that their own load stays below their target's.
-MAX_OWN_LOAD = 0.75
-
-
-def belief(state, serving: str, filling: str) -> float:
-    """Returns the probability that one image disturbs another."""
-    found = state.shard.pairs.get((serving, filling))
-    if found is None:
-        return PRIOR
-    value, at = found
-    kept = 0.5 ** ((state.now - at) / HALF_LIFE_MS)
-    return PRIOR + (value - PRIOR) * kept
-
-
-def risk(state, worker, filling: str) -> tuple[float, float]:
-    """Returns how likely an image disturbs on a worker: at worst, in all."""
-    found = worker.risks.get(filling)
-    if found is not None:
-        return found
-    clear = 1.0
-    highest = 0.0
-    for image in sorted(_serving_images(worker)):
-        value = belief(state, image, filling)
-        highest = max(highest, value)
-        clear *= 1 - value
-    worker.risks[filling] = (highest, 1 - clear)
-    return worker.risks[filling]
-
-
-def may_try(state, filling: str) -> bool:
-    """Whether an image that may disturb can be tried on a worker now."""
-    return state.now - state.shard.tried.get(filling, 0) >= TRY_INTERVAL_MS
+# A filling task that has worked below this pace for this time moves, if
+# another worker lets it work at the better pace.
+SLOW_PACE = 50
+SLOW_MS = 500
+MOVE_PACE = 0.95
+# A run's use of the processor is known after this time at one pace.
+STEADY_MS = 700
+# Below this pace the use says little about the use at full speed.
+MIN_MEASURED_PACE = 30
+
+
+def is_serving(task) -> bool:
+    """Whether a task has a latency objective that others can disturb."""
+    return bool(task.step.target_ms) and task.status == state_lib.WORKING
 
 
 def count_other_images(worker, image: str) -> int:
     """Returns how many other images serve on a worker."""
-    return len(_serving_images(worker) - {image})
+    images = {t.step.image for t in worker.runs.values() if t.step.target_ms}
+    return len(images - {image})
 
 
-def _serving_images(worker) -> set[str]:
-    images = set()
-    for task in worker.runs.values():
-        if task.step.target_ms:
-            images.add(task.step.image)
-    return images
+def note_change(state, worker, task):
+    """Notes that a run came or went: the newest figures show both."""
+    worker.allowed.clear()
+    if task.step.fills and not task.worker:
+        departed = (task.step.image, task.gauge, state.now)
+        worker.departed.append(departed)
 
 
-# -------------------------------------------------------------------- look
+def _rise(state, serving, filling) -> float:
+    """Returns a cautious coefficient of two images."""
+    mean, deviation = pressure.coefficient(state, serving, filling)
+    return mean * (1 + pressure.VARIATION) + CAUTION * deviation
 
 
-def note_change(state, worker, task):
-    """Notes that a run came or went: the newest figures show both."""
-    worker.risks.clear()
-    if task.step.fills and not task.worker:
-        worker.departed[task.step.image] = state.now
+def _share(worker, task) -> float:
+    """Returns the share of a worker that a filling task uses at full pace."""
+    return task.full_cpu / max(1, worker.entry.room.cpu)
+
+
+# ---------------------------------------------------------------- placement
+
+
+def headroom(state, worker, task) -> float:
+    """Returns the share of full pace that a filling task could work at."""
+    image = task.step.image
+    allowed = worker.allowed.get(image)
+    if allowed is None:
+        allowed = _allowed_share(state, worker, image)
+        worker.allowed[image] = allowed
+    need = task.step.need.cpu / max(1, worker.entry.room.cpu)
+    return min(1.0, allowed / max(need, 1e-6))
+
+
+def _allowed_share(state, worker, image):
+    """Returns the share of a worker that an image may use beside the rest."""
+    fills = _filling(worker)
+    allowed = 1.0
+    for task in worker.runs.values():
+        if not task.step.target_ms:
+            continue
+        serving = task.step.image
+        left = TARGET_LOAD - pressure.own_load(state, task, PLACEMENT_AHEAD_MS)
+        rise = max(1e-3, _rise(state, serving, image))
+        for other in fills:
+            # What disturbs more gives way, by `_plan`.
+            theirs = _rise(state, serving, other.step.image)
+            if theirs <= rise:
+                left -= theirs * _share(worker, other)
+        allowed = min(allowed, max(0.0, left) / rise)
+    return allowed
+
+
+def _filling(worker):
+    """Returns the filling tasks on a worker that work or are about to."""
+    found = []
+    for task in worker.runs.values():
+        if task.step.fills and task.status != state_lib.STOPPING:
+            found.append(task)
+    return found
+
+
+# -------------------------------------------------------------------- looks
 
 
 def judge(state, effects, worker):
-    """Learns from a look at a worker, and stops what disturbs there."""
-    worker.risks.clear()
-    present, whole = _images(state, worker)
-    testing = state.now - worker.tested_at >= TEST_INTERVAL_MS
-    worst = None
+    """Learns from a look at a worker, and paces what fills there."""
+    worker.allowed.clear()
+    shares = _used_shares(state, worker)
     for task in worker.runs.values():
-        target = task.step.target_ms
-        if not target or task.status != state_lib.WORKING or not task.gauge:
+        if not is_serving(task) or not task.gauge or task.percent < 100:
             continue
-        if not present:
-            _note_lowest(state.shard, task)
+        if state.now - task.confirmed_at < 2 * pressure.WINDOW_MS:
             continue
-        own = _own_load(state, task.job)
-        if testing:
-            worker.tested_at = state.now
-            _test(state, task, own, present, whole)
-        over = task.gauge / target
-        if _load(state.shard, task) - (own or MAX_OWN_LOAD) < QUIET_RISE:
+        pressure.learn(state, task, shares)
+        if task.gauge <= task.step.target_ms:
+            task.over_since = 0
+        elif not task.over_since:
+            task.over_since = state.now
+    control(state, effects, worker)
+
+
+def _used_shares(state, worker):
+    """Returns what filling tasks used during the window of the tails."""
+    room = max(1, worker.entry.room.cpu)
+    window = pressure.WINDOW_MS
+    shares = []
+    departed = []
+    for image, used, at in worker.departed:
+        left = 1 - (state.now - at) / window
+        if left <= 0:
             continue
-        if over > RELIEVE_AT and (worst is None or over > worst[0]):
-            worst = (over, task)
-    if worst is None:
-        worker.disturbed_since = 0
-        return
-    worker.disturbed_since = worker.disturbed_since or state.now
-    _relieve(state, effects, worker, worst[1])
-
-
-def _images(state, worker):
-    """Returns the images that filled at any time of the newest figures.
-
-    The second list holds those that filled all the time.
-    """
-    present = set()
-    whole = set()
-    for image, at in list(worker.departed.items()):
-        if state.now - at < DEPARTED_MS:
-            present.add(image)
-        else:
-            del worker.departed[image]
+        departed.append((image, used, at))
+        share = used * left / room
+        shares.append(pressure.Share(image, share, share))
+    worker.departed = departed
     for task in worker.runs.values():
         if not task.step.fills or task.status == state_lib.STARTING:
             continue
-        present.add(task.step.image)
-        if task.status != state_lib.WORKING:
-            continue
-        if state.now - task.confirmed_at >= TEST_INTERVAL_MS:
-            whole.add(task.step.image)
-    return sorted(present), sorted(whole)
+        share = task.gauge / room
+        since = state.now - max(task.paced_at, task.confirmed_at)
+        steady = since >= STEADY_MS
+        shares.append(
+            pressure.Share(task.step.image, share, 0.0 if steady else share)
+        )
+        if steady and task.gauge and task.pace >= MIN_MEASURED_PACE:
+            task.full_cpu = task.gauge * 100 / task.pace
+    return shares
 
 
-def _note_lowest(shard, task):
-    image = task.step.image
-    lowest = shard.lowest_tail.get(image)
-    if lowest is None or task.gauge < lowest:
-        shard.lowest_tail[image] = task.gauge
-
+# ------------------------------------------------------------------ control
 
-def _load(shard, task):
-    """Returns the load that a serving task's tail stands for."""
-    idle = task.step.target_ms / TARGET_OVER_IDLE
-    lowest = shard.lowest_tail.get(task.step.image)
-    if lowest is not None:
-        idle = min(idle, LOWEST_SEEN_SHARE * lowest)
-    return min(MAX_LOAD, max(MIN_LOAD, 1 - idle / task.gauge))
 
-
-def _own_load(state, job) -> float:
-    """Returns the load that the job's tasks have undisturbed; 0 if unknown."""
-    loads = []
-    for task in job.tasks.values():
-        if not task.gauge or task.status != state_lib.WORKING:
+def control(state, effects, worker):
+    """Orders the pace of each filling task on a worker."""
+    fills = _filling(worker)
+    if not fills:
+        return
+    plan = _plan(state, worker, fills)
+    for task in fills:
+        if task.status != state_lib.WORKING:
+            continue
+        pace = plan[task.key]
+        if pace >= SLOW_PACE:
+            task.slow_since = 0
+        elif not task.slow_since:
+            task.slow_since = state.now
+        known = task.pace_known
+        change = abs(pace - task.pace)
+        if (
+            known
+            and change < PACE_STEP
+            and (not change or pace not in (0, 100))
+        ):
             continue
-        if state.now - task.gauge_at <= FRESH_MS:
-            loads.append(_load(state.shard, task))
-    if len(loads) < MIN_TASKS:
-        return 0.0
-    loads.sort()
-    return min(MAX_OWN_LOAD, loads[len(loads) // 4])
+        orders.set_pace(state, effects, task, worker, pace)
+    _move(state, effects, worker, fills)
 
 
-def _test(state, task, own, present, whole):
-    if own < TEST_LOAD:
-        return
-    rise = _load(state.shard, task) - own
-    if rise >= DISTURBED_RISE:
-        _learn(state, task.step.image, present, high=True)
-    elif rise <= QUIET_RISE and whole:
-        _learn(state, task.step.image, whole, high=False)
-
-
-def _learn(state, serving, images, high):
-    clear = 1.0
-    for image in images:
-        clear *= 1 - DETECTION * belief(state, serving, image)
-    quiet = (1 - FALSE_ALARM) * clear
-    learned = {}
-    for image in images:
-        before = belief(state, serving, image)
-        # Chance of a low load if this image disturbs.
-        others = quiet / (1 - DETECTION * before)
-        quiet_if = others * (1 - DETECTION)
-        if high:
-            after = before * (1 - quiet_if) / (1 - quiet)
-        else:
-            after = before * quiet_if / quiet
-        after = min(CEILING, max(FLOOR, after))
-        learned[serving, image] = (after, state.now)
-    state.shard.pairs.update(learned)
-
-
-def _relieve(state, effects, worker, disturbed):
-    """Stops the tasks that most likely disturb a task on their worker."""
-    serving = disturbed.step.image
-    beliefs = {}
-    for task in worker.runs.values():
-        if task.step.fills and task.status == state_lib.WORKING:
-            beliefs[task.step.image] = belief(state, serving, task.step.image)
-    if not beliefs:
-        return
-    waited = state.now - worker.disturbed_since
-    limit = CULPRIT
-    if waited >= PATIENCE_MS:
-        limit = min(limit, max(beliefs.values()))
-    stopped = []
+def _plan(state, worker, fills):
+    """Returns the pace in percent of each filling task, by key."""
+    paces = {task.key: 1.0 for task in fills}
+    limits = []
     for task in worker.runs.values():
-        if not task.step.fills or task.status != state_lib.WORKING:
+        if not is_serving(task):
             continue
-        if beliefs[task.step.image] >= limit:
-            stopped.append(task)
-    if not stopped:
-        return
-    fields = {
-        "worker": worker.name,
-        "task": str(disturbed.key),
-        "image": serving,
-        "tail_ms": disturbed.gauge,
-        "target_ms": disturbed.step.target_ms,
-        "own_load": _own_load(state, disturbed.job),
-        "for_ms": waited,
-        "beliefs": [f"{k}:{v:.2f}" for k, v in sorted(beliefs.items())],
-        "stopped": len(stopped),
-    }
-    effects.append(fx.Log("info", "disturbed", fields))
-    for task in stopped:
-        orders.stop(state, effects, task, f"disturbs {serving}")
+        left = TARGET_LOAD - pressure.own_load(state, task, PACE_AHEAD_MS)
+        if task.over_since and state.now - task.over_since >= PATIENCE_MS:
+            left = 0.0
+        rises = {}
+        for other in fills:
+            rise = _rise(state, task.step.image, other.step.image)
+            rises[other.key] = rise * _share(worker, other)
+        limits.append((left, rises))
+    for _ in range(len(fills)):
+        worst = _most_exceeded(limits, paces)
+        if worst is None:
+            break
+        excess, rises = worst
+        # Slowing what disturbs most by the processor it uses costs least.
+        slowed = max(
+            (task for task in fills if paces[task.key] > 0),
+            key=lambda task: rises[task.key] / max(1, task.full_cpu),
+            default=None,
+        )
+        if slowed is None:
+            break
+        cut = excess / max(1e-6, rises[slowed.key])
+        paces[slowed.key] = max(0.0, paces[slowed.key] - cut)
+    return {key: int(pace * 100) for key, pace in paces.items()}
+
+
+def _most_exceeded(limits, paces):
+    """Returns (excess, rises) of the serving task that is disturbed most."""
+    worst = None
+    for left, rises in limits:
+        excess = -left
+        for key, rise in rises.items():
+            excess += rise * paces[key]
+        if excess > 1e-6 and (worst is None or excess > worst[0]):
+            worst = (excess, rises)
+    return worst
+
+
+def _move(state, effects, worker, fills):
+    """Stops one task that is slowed down here and could work elsewhere."""
+    for task in fills:
+        if task.status != state_lib.WORKING or not task.step.checkpoints:
+            continue
+        if not task.slow_since or state.now - task.slow_since < SLOW_MS:
+            continue
+        for other in state.shard.workers.values():
+            if other is worker or not other.answers(state.now):
+                continue
+            if other.entry.service != worker.entry.service:
+                continue
+            if other.closed or other.entry.draining or not other.listed:
+                continue
+            if headroom(state, other, task) >= MOVE_PACE:
+                orders.stop(state, effects, task, "slowed down here")
+                return
--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -8,12 +8,16 @@
 from skylarklug.scheduler import events
 from skylarklug.scheduler import intake
 from skylarklug.scheduler import orders
+from skylarklug.scheduler import pressure
 from skylarklug.scheduler import records
 from skylarklug.scheduler import state as state_lib
 
 TABLE = "jobs"
 # The row of a job with times is marked as begun this long before it is due.
 BEGIN_AHEAD_MS = 1_000
+# A job that is later than this many times its objective earns nothing; it
+# still runs, behind those that do.
+LATE_FACTOR = 3
 # Starts are this much late on purpose, because clocks differ a little.
 DUE_MARGIN_MS = 30
 
@@ -41,6 +45,17 @@
     return 0 if queue is None else queue.priority
 
 
+def lateness(state, job) -> int:
+    """Returns 0 for a job in time, 1 for a late one, 2 for a hopeless one."""
+    if job.spec.repeats:
+        return 0
+    now = state.wall_ms
+    objective = job.deadline - job.spec.accepted_ms
+    if now > job.spec.accepted_ms + LATE_FACTOR * objective:
+        return 2
+    return 1 if now > job.deadline else 0
+
+
 def mark_dirty(shard, job):
     """Queues the job's `work` row for the next commit."""
     shard.dirty[job.spec.job] = None
@@ -300,6 +315,7 @@
     name = job.spec.job
     shard.jobs.pop(name, None)
     shard.dirty.pop(name, None)
+    pressure.forget(state, job)
     shard.closed[name] = state.now
 
 
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -24,9 +24,7 @@
     worker.runs[task.key] = task
     task.worker = worker.name
     need = task.step.need
-    if task.step.fills:
-        worker.fill_cpu += need.cpu
-    else:
+    if not task.step.fills:
         worker.used[0] += need.cpu
     worker.used[1] += need.memory_mb
     worker.used[2] += need.accelerators
@@ -38,9 +36,7 @@
         return
     task.worker = ""
     need = task.step.need
-    if task.step.fills:
-        worker.fill_cpu -= need.cpu
-    else:
+    if not task.step.fills:
         worker.used[0] -= need.cpu
     worker.used[1] -= need.memory_mb
     worker.used[2] -= need.accelerators
@@ -61,6 +57,12 @@
     task.percent = 0
     task.missing = 0
     task.ticket = ticket
+    task.gauge = 0.0
+    task.pace = 100
+    task.pace_known = True
+    task.slow_since = 0
+    task.over_since = 0
+    task.burst = 0.0
     occupy(worker, task)
     interference.note_change(state, worker, task)
     shard.unsettled[task.key] = task
@@ -73,7 +75,6 @@
         "waited_ms": state.now - task.wanted_at,
         "resumed": bool(task.checkpoint),
         "free_cpu": worker.entry.room.cpu - worker.used[0],
-        "fill_cpu": worker.fill_cpu,
         "view_ms": state.now - worker.answered_at,
     }
     effects.append(fx.Log("info", "place", fields))
@@ -142,6 +143,33 @@
     )
 
 
+def set_pace(state, effects, task, worker, pace):
+    """Orders a worker to let a run work at `pace` percent of its speed."""
+    fields = {
+        "task": str(task.key),
+        "attempt": task.attempt,
+        "worker": worker.name,
+        "pace": pace,
+        "before": task.pace,
+        "view_ms": state.now - worker.answered_at,
+    }
+    effects.append(fx.Log("info", "pace", fields))
+    task.pace = pace
+    task.pace_known = True
+    task.paced_at = state.now
+    effects.append(
+        fx.PaceRun(
+            worker.name,
+            worker.entry.address,
+            state.shard.epoch,
+            task.key,
+            task.attempt,
+            pace,
+            ORDER_TIMEOUT_MS,
+        )
+    )
+
+
 def stop_unknown(state, effects, worker, report):
     """Stops a run that is not in the books, or not the newest one."""
     fields = {
@@ -183,6 +211,9 @@
     if event.result == "rejected" and event.reason == "fence":
         suspect_take_over(state, effects, event.worker)
         return
+    if event.op == "pace":
+        _on_pace_answer(shard, event)
+        return
     task = shard.unsettled.get(event.key)
     if task is None or task.worker != event.worker:
         return
@@ -196,6 +227,14 @@
             task.confirmed_at = state.now
 
 
+def _on_pace_answer(shard, event):
+    """An order without an answer is given again after the next look."""
+    worker = shard.workers.get(event.worker)
+    task = None if worker is None else worker.runs.get(event.key)
+    if task is not None and task.attempt == event.attempt:
+        task.pace_known = task.pace_known and event.result == "ok"
+
+
 def _on_start_answer(state, event, effects, task, worker):
     shard = state.shard
     if event.result == "ok":
@@ -204,6 +243,8 @@
         task.confirmed_at = state.now
         shard.unsettled.pop(task.key, None)
         mark_started(shard, task.job)
+        if task.step.fills:
+            interference.control(state, effects, worker)
         return
     fields = {
         "task": str(task.key),
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -14,7 +14,7 @@
 # Passes are at least this far apart, so that a burst shares one.
 PASS_INTERVAL_MS = 20
 # Share of their processor that tasks which claim it use on average; the rest
-# is offered to filling tasks. More of these disturb more than they gain.
+# is offered to filling tasks.
 CLAIMED_USE = 0.55
 # Short tasks that claim processor earn several times what lasting ones earn
 # for the same processor, and come in groups. While there are such tasks,
@@ -30,13 +30,14 @@
 # A task waits this long for another worker than one that it failed on, or
 # that fails most of what it starts.
 AVOID_MS = 1_500
-# A job that is later than this many times its objective earns nothing; it
-# still runs, behind those that do.
-LATE_FACTOR = 3
-# A worker where a filling task more likely than this disturbs a serving one
-# is not used for it; above the second figure, for one trial at a time.
-RISK_LIMIT = 0.75
-TRIAL_RISK = 0.25
+# Filling tasks leave this share of a worker's memory to those that claim its
+# processor.
+MEMORY_RESERVE = 0.15
+# Share of its full speed that a filling task must find on a worker, at first
+# and once it has waited.
+MIN_SPEED = 0.95
+WAITED_MIN_SPEED = 0.5
+WAITED_MS = 1_000
 
 
 def _candidates(state, task):
@@ -78,14 +79,18 @@
     if used[2] + need.accelerators > room.accelerators:
         return False
     if step.fills:
-        return True
+        memory = room.memory_mb - used[1] - need.memory_mb
+        return memory >= MEMORY_RESERVE * room.memory_mb
     return used[0] + need.cpu <= room.cpu
 
 
 def _spare_cpu(worker):
     """Returns the processor that filling tasks still find on a worker."""
     spare = worker.entry.room.cpu - CLAIMED_USE * worker.used[0]
-    return spare - worker.fill_cpu
+    for task in worker.runs.values():
+        if task.step.fills:
+            spare -= task.full_cpu * task.pace / 100
+    return spare
 
 
 def _count_same(worker, task):
@@ -96,6 +101,15 @@
     return count
 
 
+def _count_lasting_jobs(worker, task):
+    """Returns how many other jobs have lasting tasks on a worker."""
+    found = set()
+    for key, other in worker.runs.items():
+        if other.step.lasting and key.job != task.key.job:
+            found.add(key.job)
+    return len(found)
+
+
 def _keeps_reserve(state, task, candidates):
     """Whether a lasting task leaves the reserve of short tasks alone.
 
@@ -123,13 +137,6 @@
     return not any(other.worker for other in task.job.tasks.values())
 
 
-def _may_risk(state, task, risk):
-    """Whether a filling task may start where it may disturb."""
-    if risk <= TRIAL_RISK:
-        return True
-    return risk <= RISK_LIMIT and interference.may_try(state, task.step.image)
-
-
 def _measure_use(shard):
     """Returns the share of all processors that tasks claim."""
     asked = 0
@@ -160,25 +167,29 @@
     if step.lasting:
         if reserve and free < SHORT_RESERVE * room:
             return None
-        # Images that serve together leave more workers where an image that
-        # fills disturbs nobody. The tasks of a job stay apart, so that a
-        # worker's loss costs little and their tails can be compared.
+        # Filling tasks are limited by the highest load beside them. The tasks
+        # of a job have the same load at the same time, so together they leave
+        # the most to them; then those of one image, which fewer disturb.
         same = _count_same(worker, task)
         strange = interference.count_other_images(worker, step.image)
-        return (suspect, near, same, strange, free)
+        jobs_there = _count_lasting_jobs(worker, task)
+        return (suspect, near, strange, jobs_there, -same, -free)
     # Best fit keeps room for the widest tasks.
     return (suspect, near, free)
 
 
 def _score_filling(state, worker, task, first):
     spare = _spare_cpu(worker)
-    worst, risk = interference.risk(state, worker, task.step.image)
-    if not _is_starved(state, task):
-        if spare < task.step.need.cpu // 2:
-            return None
-        if not _may_risk(state, task, worst):
-            return None
-    return (*first, worst > TRIAL_RISK, round(risk, 1), -spare)
+    speed = min(
+        spare / max(1, task.step.need.cpu),
+        interference.headroom(state, worker, task),
+    )
+    needed = MIN_SPEED
+    if state.now - task.wanted_at >= WAITED_MS:
+        needed = WAITED_MIN_SPEED
+    if speed < needed and not _is_starved(state, task):
+        return None
+    return (*first, -round(speed, 1), -spare)
 
 
 def _choose(state, task, candidates):
@@ -195,23 +206,12 @@
     return chosen
 
 
-def _lateness(state, task):
-    """Returns 0 for a job in time, 1 for a late one, 2 for a hopeless one."""
-    job = task.job
-    if task.step.lasting or job.spec.repeats:
-        return 0
-    now = state.wall_ms
-    objective = job.deadline - job.spec.accepted_ms
-    if now > job.spec.accepted_ms + LATE_FACTOR * objective:
-        return 2
-    return 1 if now > job.deadline else 0
-
-
 def _group_order(state, group):
     task = next(iter(group.values()))
     job = task.job
     priority = jobs.priority_of(state, job)
-    return (priority, _lateness(state, task), job.deadline, task.key)
+    late = 0 if task.step.lasting else jobs.lateness(state, job)
+    return (priority, late, job.deadline, task.key)
 
 
 def place(state, effects):
@@ -253,10 +253,6 @@
         if worker is None:
             return
         jobs.drop_ready(shard, task)
-        if task.step.fills:
-            image = task.step.image
-            if interference.risk(state, worker, image)[0] > TRIAL_RISK:
-                shard.tried[image] = state.now
         attempt = orders.next_attempt(shard, task)
         _start(state, effects, task, worker, attempt)
 
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -32,24 +32,39 @@
         confirmed_at: When the worker first confirmed the run.
         percent: Progress, as the worker reports it.
         gauge: Tail in ms, or processor in use.
+        pace: Percent of full speed that it was ordered to work at.
+        pace_known: Whether the worker has surely taken that order.
+        paced_at: When that order was sent.
+        full_cpu: Processor that a filling task uses at full pace.
+        slow_since: Since when its pace has been low; 0 if it is not.
+        over_since: Since when its tail has been over its target; 0 if not.
+        burst: How much higher its load is than expected.
+        learned_at: When its tail was last compared with the expected one.
     """
 
     __slots__ = (
         "attempt",
         "avoid",
+        "burst",
         "checkpoint",
         "confirmed_at",
         "failures",
+        "full_cpu",
         "gauge",
-        "gauge_at",
         "held_until",
         "job",
         "key",
+        "learned_at",
         "missing",
         "not_before",
         "order_at",
         "orders",
+        "over_since",
+        "pace",
+        "pace_known",
+        "paced_at",
         "percent",
+        "slow_since",
         "status",
         "step",
         "ticket",
@@ -75,7 +90,14 @@
         self.confirmed_at = 0
         self.percent = 0
         self.gauge = 0.0
-        self.gauge_at = 0
+        self.pace = 100
+        self.pace_known = True
+        self.paced_at = 0
+        self.full_cpu = float(step.need.cpu)
+        self.slow_since = 0
+        self.over_since = 0
+        self.burst = 0.0
+        self.learned_at = 0
         self.missing = 0
         self.wanted_at = 0
 
@@ -138,7 +160,8 @@
         clock: (worker's clock ms, our clock ms) at its newest answer.
         runs: Tasks that run or may run there, by key.
         used: What those tasks count against the room.
-        fill_cpu: Processor that the filling tasks there ask for.
+        allowed: Share of it that an image may fill now, by image.
+        departed: Filling tasks that ended lately: (image, processor, when).
         acknowledged: Highest end that it may forget.
         unsaved: Ends that are not committed yet: number to job.
         granted_at: When the newest order that renews its lease was sent.
@@ -150,18 +173,17 @@
 
     __slots__ = (
         "acknowledged",
+        "allowed",
         "answered_at",
         "blame",
         "born",
         "clock",
         "closed",
         "departed",
-        "disturbed_since",
         "entry",
         "failed_looks",
         "faulty_until",
         "fenced",
-        "fill_cpu",
         "granted_at",
         "highest_end",
         "listed",
@@ -170,9 +192,7 @@
         "name",
         "reborn",
         "rest_until",
-        "risks",
         "runs",
-        "tested_at",
         "unsaved",
         "used",
     )
@@ -186,11 +206,8 @@
         self.clock = (0, 0)
         self.runs: dict[records.TaskKey, Task] = {}
         self.used = [0, 0, 0]
-        self.fill_cpu = 0
-        self.risks: dict[str, tuple[float, float]] = {}
-        self.tested_at = 0
-        self.disturbed_since = 0
-        self.departed: dict[str, int] = {}
+        self.allowed: dict[str, float] = {}
+        self.departed: list[tuple[str, float, int]] = []
         self.acknowledged = 0
         self.highest_end = 0
         self.unsaved: dict[int, str] = {}
@@ -226,10 +243,7 @@
         loaded: Tables that have been read whole.
         dirty: Jobs whose `work` row must be written.
         saving: Jobs in the commit in flight.
-        pairs: How likely tasks of one image disturb those of another, by
-            (image that serves, image that fills), and when that was learned.
-        tried: When an image that may disturb was last placed.
-        lowest_tail: Lowest tail in ms without filling tasks, by image.
+        estimates: Loads of serving tasks and what raises them, by image.
     """
 
     def __init__(self, epoch: int, owner_version: int, now: int):
@@ -260,9 +274,7 @@
         self.roster_at = 0
         self.roster_version = 0
         self.former: dict[str, Any] = {}
-        self.pairs: dict[tuple[str, str], tuple[float, int]] = {}
-        self.tried: dict[str, int] = {}
-        self.lowest_tail: dict[str, float] = {}
+        self.estimates: dict[str, Any] = {}
         self.advising = False
         self.waves: dict[int, Any] = {}
         self.machines: dict[str, records.Machine] | None = None
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -227,7 +227,6 @@
         task.checkpoint = report.checkpoint
     task.percent = report.percent
     task.gauge = report.gauge
-    task.gauge_at = state.now
 
 
 def _adopt(state, effects, worker, report):
@@ -243,6 +242,7 @@
             task.status = state_lib.WORKING
             task.confirmed_at = state.now
             task.held_until = 0
+            task.pace_known = False
             _update_run(state, task, report)
             orders.mark_started(shard, job)
             return True
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -27,7 +27,7 @@
 
     Attributes:
         store: `commit`, `read_row`, `scan`, `changes`, `report_wave`.
-        workers: `look`, `start`, `stop`.
+        workers: `look`, `start`, `stop`, `pace`.
         callers: `answer`, `set_ready`, `close`.
         advice: `ask`.
         machines: `list`, `begin_upkeep`.
@@ -86,6 +86,7 @@
             fx.Log: self._log_effect,
             fx.Look: self._look,
             fx.Measure: self._measure,
+            fx.PaceRun: self._pace_run,
             fx.ReadRows: self._read,
             fx.ReportWave: self._report_wave,
             fx.SetReady: self._set_ready,
@@ -283,6 +284,9 @@
     def _stop_run(self, effect):
         self._spawn(self._run_order("stop", effect))
 
+    def _pace_run(self, effect):
+        self._spawn(self._run_order("pace", effect))
+
     async def _run_order(self, op, effect):
         sent_at = boot_ms()
         send = getattr(self._ports.workers, op)
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -163,6 +163,7 @@
         self.runs = {}
         self.ends = []
         self.started = []
+        self.paces = {}
         self.answer = None
 
     def entry(self, **fields):
@@ -194,6 +195,8 @@
                 self.start(body)
             elif req.path == "/api/run-stop":
                 self.end(body["task"], "stopped")
+            elif req.path == "/api/pace":
+                self.paces[body["task"]] = body["pct"]
             respond(req, 200, {"clock_ms": now_ms()})
 
     def start(self, body):
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -282,6 +282,33 @@
 
         with_client(call)
 
+    def test_pace_names_run_and_share(self):
+        """Guards against a task that is slowed down by a former leader."""
+
+        async def call(http, log):
+            worker = standin.Worker("w1")
+            worker.runs[wire.task_name(KEY)] = [
+                wire.task_name(KEY),
+                2,
+                "",
+                41,
+                900,
+            ]
+            calls = workers.WorkerClient(http, log)
+            effect = fx.PaceRun("w1", worker.address, 3, KEY, 2, 40, 300)
+            assert await calls.pace(effect) == ("ok", "")
+            _, path, _, body = worker.requests[0]
+            assert path == "/api/pace"
+            assert body == {
+                "task": "5c0e7a21d94b36f8.0.1.17",
+                "attempt": 2,
+                "pct": 40,
+                "fence": 3,
+            }
+            assert worker.paces == {wire.task_name(KEY): 40}
+
+        with_client(call)
+
     def test_look_decodes_runs_and_ends(self):
         """Guards against reports that end at the wrong task."""
 
