--- a/packages/core/src/skylarklug/scheduler/reducer.py
+++ b/packages/core/src/skylarklug/scheduler/reducer.py
@@ -1,6 +1,7 @@
 """The scheduler's reducer: one function from state and event to effects."""
 
 from skylarklug.scheduler import advice
+from skylarklug.scheduler import handover
 from skylarklug.scheduler import intake
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
@@ -26,6 +27,7 @@
     workers,
     advice,
     upkeep,
+    handover,
     placement,
     progress,
 )
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -244,6 +244,7 @@
         dirty: Jobs whose `work` row must be written.
         saving: Jobs in the commit in flight.
         estimates: Loads of serving tasks and what raises them, by image.
+        handed_over: Coefficients that the store holds for a successor.
     """
 
     def __init__(self, epoch: int, owner_version: int, now: int):
@@ -275,6 +276,9 @@
         self.roster_version = 0
         self.former: dict[str, Any] = {}
         self.estimates: dict[str, Any] = {}
+        self.handed_over: dict[str, Any] = {}
+        self.handover_read = False
+        self.handover_at = 0
         self.advising = False
         self.waves: dict[int, Any] = {}
         self.machines: dict[str, records.Machine] | None = None
--- a/tests/scheduler/test_policy.py
+++ b/tests/scheduler/test_policy.py
@@ -162,6 +162,23 @@
             done += sim.state_of(number) == "done"
         assert done >= 15
 
+    def test_a_new_leader_knows_what_disturbs(self, deployment):
+        """Guards against services that are slowed down after each take-over
+        until the new leader has learned the same again."""
+        sim = deployment(workers=6)
+        self.serve(sim, 24, cpu=4_000)
+        sim.tails_of = Tails({"loud": 3.0, "calm": 0.1}, steady)
+        for worker in sim.workers.values():
+            worker.run_ms = 2_000
+        self.fill(sim, range(2, 30), 700)
+        before = sim.leader()
+        sim.kill(before.name)
+        sim.run(5_000)
+        state = sim.leader().state
+        assert state.shard.epoch > before.state.shard.epoch
+        assert pressure.coefficient(state, "web", "loud")[0] > 1.5
+        assert pressure.coefficient(state, "web", "calm")[0] < 0.5
+
     def test_loads_that_swing_are_followed(self, deployment):
         """Guards against a filling task that starts while the load is low
         and goes on at full speed when it rises."""
