--- a/packages/core/src/skylarklug/scheduler/intake.py
+++ b/packages/core/src/skylarklug/scheduler/intake.py
@@ -9,8 +9,10 @@
 from skylarklug.scheduler import store
 
 RETRY_AFTER_S = 1
-# A client that waits less is answered before its deadline all the same.
-ANSWER_MARGIN_MS = 100
+# Share of a client's time that a call to the store may take. A slow store
+# queues transactions for up to a second; a client whose call fails has the
+# rest of its time to try again.
+STORE_SHARE = 0.45
 MIN_STORE_TIMEOUT_MS = 100
 JOB_ID_LENGTH = 16
 _HEX = frozenset("0123456789abcdef")
@@ -39,8 +41,7 @@
 def _timeout_ms(deadline_ms):
     if not deadline_ms:
         return store.COMMIT_TIMEOUT_MS
-    budget = max(MIN_STORE_TIMEOUT_MS, deadline_ms - ANSWER_MARGIN_MS)
-    return min(store.COMMIT_TIMEOUT_MS, budget)
+    return max(MIN_STORE_TIMEOUT_MS, int(deadline_ms * STORE_SHARE))
 
 
 def _resolve(state, event, effects):
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -51,6 +51,8 @@
         self.rows = {}
         self.version = 0
         self.modes = {}
+        # Transactions take this much longer.
+        self.slow_ms = 0
         self.commits = []
 
     def commit(self, node, effect):
@@ -378,7 +380,9 @@
         def apply():
             status, version, rows = self.store.commit(node, effect)
             delay = STORE_MS // 2
-            if status == "unknown":
+            if self.now - sent_at >= effect.timeout_ms:
+                status, version, rows = "unknown", 0, ()
+            elif status == "unknown":
                 delay = effect.timeout_ms
             self.deliver(
                 node,
@@ -388,7 +392,7 @@
                 ),
             )
 
-        self.after(STORE_MS // 2, apply)
+        self.after(STORE_MS // 2 + self.store.slow_ms, apply)
 
     def on_ReadRows(self, node, effect):  # noqa: N802
         sent_at = self.now
--- a/tests/scheduler/test_jobs.py
+++ b/tests/scheduler/test_jobs.py
@@ -26,6 +26,15 @@
         assert statuses == [200, 200, 200]
         assert len(sim.starts) == 1
 
+    def test_slow_store_is_waited_for(self, deployment):
+        """Guards against jobs that are answered as unknown, and so cannot be
+        tried elsewhere, while a slow store is about to take them."""
+        sim = deployment()
+        sim.store.slow_ms = 1_200
+        req = sim.submit(1, fakes.step())
+        sim.run(1_300)
+        assert sim.status(req) == 200
+
     def test_refusal_is_true(self, deployment):
         """Guards against a job that runs although it was refused."""
         sim = deployment()
