--- a/packages/core/src/skylarklug/scheduler/interference.py
+++ b/packages/core/src/skylarklug/scheduler/interference.py
@@ -162,7 +162,7 @@
     fills = _filling(worker)
     if not fills:
         return
-    plan = _plan(state, worker, fills)
+    plan, limited_by = _plan(state, worker, fills)
     for task in fills:
         if task.status != state_lib.WORKING:
             continue
@@ -171,21 +171,27 @@
             task.slow_since = 0
         elif not task.slow_since:
             task.slow_since = state.now
-        known = task.pace_known
-        change = abs(pace - task.pace)
-        if (
-            known
-            and change < PACE_STEP
-            and (not change or pace not in (0, 100))
-        ):
+        if task.pace_known and not _is_worth_an_order(task.pace, pace):
             continue
-        orders.set_pace(state, effects, task, worker, pace)
+        reason = limited_by.get(task.key)
+        orders.set_pace(state, effects, task, worker, pace, reason)
     _move(state, effects, worker, fills)
 
 
+def _is_worth_an_order(before, pace):
+    if pace in (0, 100):
+        return pace != before
+    return abs(pace - before) >= PACE_STEP
+
+
 def _plan(state, worker, fills):
-    """Returns the pace in percent of each filling task, by key."""
+    """Returns the pace in percent of each filling task, by key.
+
+    The second value maps a task that is slowed down to the serving task that
+    asked for it and the load that is left to filling tasks beside that one.
+    """
     paces = {task.key: 1.0 for task in fills}
+    limited_by = {}
     limits = []
     for task in worker.runs.values():
         if not is_serving(task):
@@ -197,12 +203,12 @@
         for other in fills:
             rise = _rise(state, task.step.image, other.step.image)
             rises[other.key] = rise * _share(worker, other)
-        limits.append((left, rises))
+        limits.append((task.key, left, rises))
     for _ in range(len(fills)):
         worst = _most_exceeded(limits, paces)
         if worst is None:
             break
-        excess, rises = worst
+        excess, serving, left, rises = worst
         # Slowing what disturbs most by the processor it uses costs least.
         slowed = max(
             (task for task in fills if paces[task.key] > 0),
@@ -213,18 +219,19 @@
             break
         cut = excess / max(1e-6, rises[slowed.key])
         paces[slowed.key] = max(0.0, paces[slowed.key] - cut)
-    return {key: int(pace * 100) for key, pace in paces.items()}
+        limited_by[slowed.key] = (serving, left)
+    return {key: int(pace * 100) for key, pace in paces.items()}, limited_by
 
 
 def _most_exceeded(limits, paces):
-    """Returns (excess, rises) of the serving task that is disturbed most."""
+    """Returns the limit that is exceeded most, after by how much, or None."""
     worst = None
-    for left, rises in limits:
+    for serving, left, rises in limits:
         excess = -left
         for key, rise in rises.items():
             excess += rise * paces[key]
         if excess > 1e-6 and (worst is None or excess > worst[0]):
-            worst = (excess, rises)
+            worst = (excess, serving, left, rises)
     return worst
 
 
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -143,8 +143,12 @@
     )
 
 
-def set_pace(state, effects, task, worker, pace):
-    """Orders a worker to let a run work at `pace` percent of its speed."""
+def set_pace(state, effects, task, worker, pace, limited_by):
+    """Orders a worker to let a run work at `pace` percent of its speed.
+
+    `limited_by` is the serving task that asks for it and the load that is
+    left beside that task, or None.
+    """
     fields = {
         "task": str(task.key),
         "attempt": task.attempt,
@@ -153,6 +157,10 @@
         "before": task.pace,
         "view_ms": state.now - worker.answered_at,
     }
+    if limited_by is not None:
+        serving, left = limited_by
+        fields["for"] = str(serving)
+        fields["load_left"] = round(left, 2)
     effects.append(fx.Log("info", "pace", fields))
     task.pace = pace
     task.pace_known = True
--- a/tests/scheduler/test_policy.py
+++ b/tests/scheduler/test_policy.py
@@ -315,6 +315,11 @@
         longest = self.fill(sim, [3, 5, 7], 8_000)
         assert sim.workers["w0"].paces
         assert max(longest.values(), default=0) < HARM_MS
+        slowed = [row[2] for row in sim.log_of("pace") if row[2]["pace"] < 100]
+        assert slowed
+        for fields in slowed:
+            # The log names the service that a slow job waits for.
+            assert fields["for"].startswith(fakes.job_id(1))
 
     def test_pace_without_an_answer_is_ordered_again(self, deployment):
         """Guards against a task that works at full speed after an order to
