--- a/packages/core/src/skylarklug/scheduler/interference.py
+++ b/packages/core/src/skylarklug/scheduler/interference.py
@@ -23,6 +23,10 @@
 # A tail over its target for this time is relieved at any cost. A rule of the
 # platform allows `harm_ms` in all.
 PATIENCE_MS = 1_500
+# Tails are rough and rounded: one counts as over its target from the first
+# share of it, until it falls below the second.
+OVER_SHARE = 0.97
+CLEAR_SHARE = 0.92
 # A filling task that has worked below this pace for this time moves, if
 # another worker lets it work at the better pace.
 SLOW_PACE = 50
@@ -119,13 +123,19 @@
         if state.now - task.confirmed_at < 2 * pressure.WINDOW_MS:
             continue
         pressure.learn(state, task, shares)
-        if task.gauge <= task.step.target_ms:
-            task.over_since = 0
-        elif not task.over_since:
-            task.over_since = state.now
+        _note_tail(state, task)
     control(state, effects, worker)
 
 
+def _note_tail(state, task):
+    """Notes since when a tail has been over its target."""
+    share = task.gauge / task.step.target_ms
+    if share < CLEAR_SHARE:
+        task.over_since = 0
+    elif share > OVER_SHARE and not task.over_since:
+        task.over_since = state.now
+
+
 def _used_shares(state, worker):
     """Returns what filling tasks used during the window of the tails."""
     room = max(1, worker.entry.room.cpu)
@@ -204,7 +214,8 @@
             rise = _rise(state, task.step.image, other.step.image)
             rises[other.key] = rise * _share(worker, other)
         limits.append((task.key, left, rises))
-    for _ in range(len(fills)):
+    # Each round meets one limit or pauses one task.
+    for _ in range(len(fills) + len(limits)):
         worst = _most_exceeded(limits, paces)
         if worst is None:
             break
--- a/tests/scheduler/test_policy.py
+++ b/tests/scheduler/test_policy.py
@@ -3,7 +3,9 @@
 import pytest
 import scheduler_fakes as fakes
 
+from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
+from skylarklug.scheduler import interference
 from skylarklug.scheduler import placement
 from skylarklug.scheduler import pressure
 from skylarklug.scheduler import records
@@ -344,6 +346,64 @@
         assert worker.paces
         assert max(longest.values(), default=0) < HARM_MS
 
+    def test_tail_around_its_target_is_relieved(self, deployment):
+        """Guards against a service that is over its target for long while
+        its reported tail, which is rounded, goes above and below it."""
+        sim = deployment(workers=1)
+        self.serve(sim, 1, cpu=2_000)
+        worker = sim.workers["w0"]
+        worker.run_ms = 60_000
+        worked = []
+        paused = []
+
+        def around(sim, worker, key):
+            if not sim.is_lasting(key):
+                return 2_000 * worker.paces.get(key, 100) / 100
+            paces = [worker.paces.get(k, 100) for k in worker.runs if k != key]
+            if not any(paces):
+                paused.append(sim.now)
+                return 60
+            worked.append(sim.now)
+            return 149 if len(worked) % 3 else 152
+
+        sim.tails_of = around
+        step = fakes.step(1, cpu=2_000, fills=True, image="calm")
+        sim.submit(2, step)
+        for _ in range(3):
+            begin = sim.now
+            sim.run(HARM_MS)
+            assert [at for at in paused if at > begin]
+
+    def test_every_service_on_a_worker_counts(self, deployment):
+        """Guards against a service that stays over its target because
+        another one on the worker is disturbed more."""
+        sim = deployment(workers=1)
+        for number, image in ((1, "web"), (2, "shop")):
+            step = fakes.step(
+                1, cpu=2_000, lasting=True, image=image, target_ms=150
+            )
+            sim.submit(number, step)
+        sim.submit(3, fakes.step(1, cpu=2_000, fills=True, image="loud"))
+        sim.workers["w0"].run_ms = 60_000
+        sim.run(2_000)
+        state = sim.leader().state
+        worker = state.shard.workers["w0"]
+        for image, rise in (("web", 2.0), ("shop", 0.5)):
+            estimates = pressure.estimates_of(state, image)
+            row = estimates.coefficient_row("loud")
+            estimates.mean[row] = rise
+            estimates.covariance[row][row] = 0.0001
+        for task in worker.runs.values():
+            if task.step.image == "shop":
+                task.over_since = state.now - HARM_MS
+        paces = []
+        effects = []
+        interference.control(state, effects, worker)
+        for effect in effects:
+            if isinstance(effect, fx.PaceRun):
+                paces.append(effect.pace)
+        assert paces == [0]
+
     def test_tasks_of_a_serving_job_share_workers(self, deployment):
         """Guards against loads that peak at different times beside each
         other: they leave less to tasks that fill."""
