--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -1,4 +1,4 @@
-"""Orders to workers: start, stop, and what becomes of them."""
+"""Orders to workers: start, stop, pace, and what becomes of them."""
 
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
--- a/packages/core/src/skylarklug/scheduler/preemption.py
+++ b/packages/core/src/skylarklug/scheduler/preemption.py
@@ -59,7 +59,10 @@
                 continue
             if jobs.priority_of(state, other.job) < priority:
                 continue
-            score = (_away_share(other), other.step.need.cpu, other.key)
+            away = _away_share(other)
+            if away > MAX_AWAY_SHARE:
+                continue
+            score = (away, other.step.need.cpu, other.key)
             if best is None or score < best:
                 best = score
                 chosen = other
@@ -72,9 +75,7 @@
         return False
     if task.status != state_lib.WORKING:
         return False
-    if not upkeep.may_take_away(task):
-        return False
-    return _away_share(task) <= MAX_AWAY_SHARE
+    return upkeep.may_take_away(task)
 
 
 def _away_share(task):
--- a/packages/core/src/skylarklug/scheduler/pressure.py
+++ b/packages/core/src/skylarklug/scheduler/pressure.py
@@ -278,8 +278,8 @@
             continue
         row = found.coefficient_row(image)
         factors[row] = factors.get(row, 0.0) + share
-        expected += found.mean[row] * share
         rise = found.mean[row] * share
+        expected += rise
         noise += (VARIATION * rise) ** 2
         noise += (TRANSIENT_NOISE * found.mean[row] * transient) ** 2
     if measured > SATURATED_LOAD and measured < expected:
