Let the largest VM lead, and check the permission right before sending

Cause: any VM could win the claim, one of 0.516 cores as well as one of 2.15. Orders also carried no end of their permission: a process paused between the decision and the sending sent them afterwards. Workers refuse such orders by epoch and lease, but the machine API may take the orders of two leaders in turn, and a leader whose commits get no answer went on sending them for 3.6 s after another one could claim.

Change: the settings give each VM a capacity (processor, memory, link). A VM much smaller than the former leader's claims later; one 1.5 times as large asks to take over, and the leader releases to it. Each order says until when it is valid and is dropped if it would be sent later. The fake of a paused process dropped what reached it meanwhile; it now delivers it on resumption, as a real one gets it (test_resumed_leader_steps_down).

--- a/packages/core/src/skylarklug/scheduler/effects.py
+++ b/packages/core/src/skylarklug/scheduler/effects.py
@@ -86,7 +86,11 @@
 
 
 class StartRun(NamedTuple):
-    """Start a task on a worker and renew its lease until `lease_until`."""
+    """Start a task on a worker and renew its lease until `lease_until`.
+
+    Like every order, it must not be sent after `valid_until`, in milliseconds
+    of the clock of events: by then another node may lead.
+    """
 
     worker: str
     address: str
@@ -99,6 +103,7 @@
     ticket: str
     lease_until: int
     timeout_ms: int
+    valid_until: int
 
 
 class StopRun(NamedTuple):
@@ -110,6 +115,7 @@
     key: records.TaskKey
     attempt: int
     timeout_ms: int
+    valid_until: int
 
 
 class SetPace(NamedTuple):
@@ -122,6 +128,7 @@
     attempt: int
     pace: int
     timeout_ms: int
+    valid_until: int
 
 
 class RequestAdvice(NamedTuple):
@@ -144,6 +151,7 @@
     machine: str
     wave: int
     epoch: int
+    valid_until: int
 
 
 class ReportWave(NamedTuple):
--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -10,6 +10,7 @@
 OWNER = "owner"
 HEARTBEAT = "beat"
 ROSTER = "roster"
+CANDIDATE = "candidate"
 
 # Each heartbeat costs one write, and one answer to every node that watches
 # the table.
@@ -23,6 +24,18 @@
 # Random delay of a claim, so that nodes which detect the same silence do not
 # claim at the same time.
 CLAIM_JITTER_MS = 300
+# A VM with this many times the leader's capacity asks to take over.
+CANDIDATE_FACTOR = 1.5
+# Additional delay of the claims of a VM that is much smaller than the leader's,
+# so that the leadership goes to a large VM if one can reach the store.
+SMALL_VM_DELAY_MS = 350
+# Capacity that stands for the leader's before there was one, in cores.
+DEFAULT_LEADER_CAPACITY = 2.0
+# Delay before a node asks, and the random part of it.
+CANDIDATE_DELAY_MS = 1_000
+CANDIDATE_JITTER_MS = 2_000
+# For this time after a release only the successor named in it claims.
+SUCCESSOR_HEAD_START_MS = 1_000
 # Delay before the next claim after a claim was answered.
 CLAIM_RETRY_MS = 400
 # Delay before the next heartbeat after a failed one.
@@ -48,6 +61,26 @@
     return state.now - leader.confirmed_at < MAX_UNCONFIRMED_MS
 
 
+def orders_valid_until(state) -> int:
+    """Returns until when the orders that this leader sends now are allowed."""
+    return state.leader.confirmed_at + MAX_UNCONFIRMED_MS
+
+
+def machine_orders_valid_until(state) -> int:
+    """Returns until when no other leader sends orders to the machine API.
+
+    Unlike workers, that API may accept the orders of two leaders in turn. A
+    leader stops sending them before another one can claim, and the next one
+    waits for `machine_lease_ms` before its first one. Returns 0 while this
+    node must wait.
+    """
+    leader = state.leader
+    if leader.epoch > 1:
+        if state.now < leader.since + state.cfg.machine_lease_ms:
+            return 0
+    return leader.confirmed_at + TAKEOVER_TIMEOUT_MS
+
+
 def owner_check(leader) -> fx.Check:
     """Returns the check that every commit of a leader includes."""
     return fx.Check(TABLE, OWNER, leader.owner_version)
@@ -94,13 +127,17 @@
     effects.append(fx.Log("warning", "leadership-lost", fields))
 
 
-def _owner_value(state, epoch, released):
-    return {
+def _owner_value(state, epoch, released, successor=""):
+    value = {
         "node": state.cfg.node,
         "incarnation": state.cfg.incarnation,
         "epoch": epoch,
         "released": released,
+        "capacity": state.cfg.capacity,
     }
+    if successor:
+        value["successor"] = successor
+    return value
 
 
 def _is_mine(state, owner):
@@ -130,6 +167,8 @@
             state.heartbeat = row.value or {}
             state.heartbeat_version = row.version
             state.owner_updated_at = state.now
+        elif row.key == CANDIDATE:
+            _on_candidate(state, effects, row)
     if event.whole and state.owner is None:
         state.owner_updated_at = state.now
 
@@ -153,6 +192,24 @@
     return owner.get("node") == state.cfg.node
 
 
+def _claim_delay_ms(state):
+    """Returns a random delay, which is longer for small VMs."""
+    jitter_ms = CLAIM_JITTER_MS
+    if _is_free(state):
+        jitter_ms //= 4
+    delay_ms = state.rng.randrange(jitter_ms)
+    owner = state.owner or {}
+    successor = owner.get("successor")
+    if successor == state.cfg.node:
+        return 0
+    if successor:
+        delay_ms += SUCCESSOR_HEAD_START_MS
+    capacity = owner.get("capacity", DEFAULT_LEADER_CAPACITY)
+    if CANDIDATE_FACTOR * state.cfg.capacity <= capacity:
+        delay_ms += SMALL_VM_DELAY_MS
+    return delay_ms
+
+
 def _should_claim(state):
     if state.stopping_at or state.claiming or state.leader is not None:
         return False
@@ -172,10 +229,7 @@
 
 def _claim(state, effects):
     if not state.claim_due_at:
-        jitter_ms = CLAIM_JITTER_MS
-        if _is_free(state):
-            jitter_ms //= 4
-        state.claim_due_at = state.now + state.rng.randrange(jitter_ms)
+        state.claim_due_at = state.now + _claim_delay_ms(state)
         if state.claim_due_at > state.now:
             return
     state.claiming = True
@@ -300,11 +354,82 @@
     return counts
 
 
-def release(state, effects, done):
+# --------------------------------------------------------------- candidates
+
+
+def _is_candidate(state):
+    """Returns whether this VM is much larger than that of the leader."""
+    owner = state.owner
+    if owner is None or owner.get("released") or state.stopping_at:
+        return False
+    capacity = owner.get("capacity")
+    if capacity is None or owner.get("node") == state.cfg.node:
+        return False
+    return state.cfg.capacity >= CANDIDATE_FACTOR * capacity
+
+
+def _propose(state, effects):
+    """Asks the leader to hand over to this node."""
+    if not _is_candidate(state) or state.configuration is None:
+        state.candidate_due_at = 0
+        return
+    if not state.candidate_due_at:
+        delay_ms = CANDIDATE_DELAY_MS + state.rng.randrange(CANDIDATE_JITTER_MS)
+        state.candidate_due_at = state.now + delay_ms
+        return
+    epoch = state.owner.get("epoch", 0)
+    if state.now < state.candidate_due_at or state.proposed_epoch >= epoch:
+        return
+    state.candidate_due_at = 0
+    value = {
+        "node": state.cfg.node,
+        "epoch": epoch,
+        "capacity": state.cfg.capacity,
+    }
+
+    def done(state, effects, answer):
+        fields = {"epoch": epoch, "status": answer.status}
+        effects.append(fx.Log("info", "leadership-asked", fields))
+
+    store.commit(
+        state,
+        effects,
+        [fx.Check(TABLE, OWNER, state.owner_version)],
+        [fx.Write(TABLE, CANDIDATE, value)],
+        done,
+    )
+
+
+def _on_candidate(state, effects, row):
+    """Hands over to a larger VM that has asked for the current epoch."""
+    value = row.value or {}
+    state.proposed_epoch = max(state.proposed_epoch, value.get("epoch", 0))
+    leader = state.leader
+    if leader is not None and value.get("epoch") == leader.epoch:
+        leader.successor = value["node"]
+
+
+def _hand_over(state, effects):
+    leader = state.leader
+    if not leader.settled or not is_loaded(leader) or leader.saving:
+        return
+    if state.now - leader.confirmed_at > HEARTBEAT_INTERVAL_MS:
+        return
+
+    def done(state, effects, answer):
+        fields = {"status": answer.status, "successor": leader.successor}
+        effects.append(fx.Log("info", "leadership-released", fields))
+
+    release(state, effects, done, leader.successor)
+    # Until the release is answered, the stored owner is still this node.
+    state.claim_due_at = state.now + SUCCESSOR_HEAD_START_MS
+
+
+def release(state, effects, done, successor=""):
     """Releases the leadership, so that another node can claim it at once."""
     leader = state.leader
     step_down(state, effects, "released")
-    value = _owner_value(state, leader.epoch, released=True)
+    value = _owner_value(state, leader.epoch, True, successor)
     store.commit(
         state,
         effects,
@@ -319,7 +444,12 @@
     if leader is None:
         if _should_claim(state):
             _claim(state, effects)
+        _propose(state, effects)
         return
+    if leader.successor:
+        _hand_over(state, effects)
+        if state.leader is None:
+            return
     if not leader.heartbeat_pending and state.now >= leader.heartbeat_due_at:
         _send_heartbeat(state, effects)
 
--- a/packages/core/src/skylarklug/scheduler/maintenance.py
+++ b/packages/core/src/skylarklug/scheduler/maintenance.py
@@ -127,12 +127,15 @@
             continue
         if allows_disruption(task) and _can_move(task):
             orders.stop(state, effects, task, f"wave {wave.wave.wave}")
-    if worker.runs:
+    valid_until = leadership.machine_orders_valid_until(state)
+    if worker.runs or state.now >= valid_until:
         return
     wave.draining.discard(machine.machine)
     wave.pending.add(machine.machine)
     effects.append(
-        fx.BeginMaintenance(machine.machine, wave.wave.wave, leader.epoch)
+        fx.BeginMaintenance(
+            machine.machine, wave.wave.wave, leader.epoch, valid_until
+        )
     )
 
 
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -105,6 +105,7 @@
             task.ticket,
             worker.clock_now(state.now) + state.cfg.max_lease_ms,
             ORDER_TIMEOUT_MS,
+            leadership.orders_valid_until(state),
         )
     )
 
@@ -144,6 +145,7 @@
             key,
             attempt,
             ORDER_TIMEOUT_MS,
+            leadership.orders_valid_until(state),
         )
     )
 
@@ -179,6 +181,7 @@
             task.attempt,
             pace,
             ORDER_TIMEOUT_MS,
+            leadership.orders_valid_until(state),
         )
     )
 
--- a/packages/core/src/skylarklug/scheduler/records.py
+++ b/packages/core/src/skylarklug/scheduler/records.py
@@ -209,6 +209,10 @@
         max_lease_ms: Longest lease that a worker accepts.
         stop_grace_ms: Time that the process has for a graceful stop.
         status_ms: How long a leader remembers a job after it has removed it.
+        capacity: What the VM can carry as the leader, in cores; the least that
+            its processor, memory and link allow.
+        machine_lease_ms: Time for which a leader that has sent an order to the
+            machine API may rely on no other leader sending one.
     """
 
     node: str
@@ -217,3 +221,5 @@
     max_lease_ms: int
     stop_grace_ms: int
     status_ms: int
+    capacity: float = 1.0
+    machine_lease_ms: int = 3_000
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -262,6 +262,7 @@
     Attributes:
         epoch: Fencing token of this leadership.
         owner_version: Version of the `owner` row, checked by each commit.
+        since: When the claim of the leadership was sent.
         confirmed_at: When the latest successful commit was sent.
         settled_at: When leases of all runs of former leaders have expired.
         settled: Whether no unknown run of a former leader can exist.
@@ -286,12 +287,15 @@
         estimates: Load estimates and interference coefficients by serving
             image.
         saved_coefficients: Coefficients in the store, for a successor.
+        successor: Node on a larger VM that asks to take over; empty for none.
     """
 
     def __init__(self, epoch: int, owner_version: int, now: int):
         self.epoch = epoch
         self.owner_version = owner_version
+        self.since = now
         self.confirmed_at = now
+        self.successor = ""
         self.settled_at = 0
         self.settled = False
         self.loaded: set[str] = set()
@@ -358,6 +362,10 @@
         self.heartbeat_version = 0
         self.claiming = False
         self.claim_due_at = 0
+        # When this node asks for the leadership, and the latest epoch for
+        # which a node has asked.
+        self.candidate_due_at = 0
+        self.proposed_epoch = 0
         self.leader: LeaderState | None = None
 
     @property
--- a/packages/node/src/skylarklugd/client.py
+++ b/packages/node/src/skylarklugd/client.py
@@ -170,7 +170,14 @@
         self._sweep = None
 
     async def call(
-        self, address, method, target, body, timeout_ms, headers=None
+        self,
+        address,
+        method,
+        target,
+        body,
+        timeout_ms,
+        headers=None,
+        is_valid=None,
     ) -> Response:
         """Sends one request and returns its response, whatever the status.
 
@@ -181,6 +188,8 @@
             body: Body of the request, or None to send none.
             timeout_ms: Timeout for the whole exchange.
             headers: Additional request headers by name.
+            is_valid: Called right before the request is sent, which may be
+                later than the call; nothing is sent unless it returns true.
 
         Raises:
             ExchangeFailed: No complete response was received.
@@ -191,6 +200,14 @@
         conn = self._take_idle(address)
         if conn is None:
             conn = await self._connect(address, timeout_ms)
+        if is_valid is not None and not is_valid():
+            self._release(address, conn)
+            raise upstream.ExchangeFailed(
+                "the request was delayed until it was not allowed any more",
+                sent=False,
+                step="send request",
+                peer=address,
+            )
         reason = f"no whole response in {timeout_ms} ms"
         response = conn.send(request)
         timer = loop.call_at(expires_at, conn.fail, reason)
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -21,6 +21,15 @@
 KEY = records.TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
 
 
+# Time of the clock that the adapters get, and the end of an order's validity.
+NOW = 1_000
+VALID_UNTIL = 2_000
+
+
+def clock():
+    return NOW
+
+
 class Log:
     def __init__(self):
         self.lines = []
@@ -220,9 +229,20 @@
 
 
 class TestWorkerCalls:
-    def start_effect(self, worker, name="w1"):
+    def start_effect(self, worker, name="w1", until=VALID_UNTIL):
         return fx.StartRun(
-            name, worker.address, 7, 3, KEY, 2, "text", "save", "", 9, 300
+            name,
+            worker.address,
+            7,
+            3,
+            KEY,
+            2,
+            "text",
+            "save",
+            "",
+            9,
+            300,
+            until,
         )
 
     def test_start_sends_all_fields(self):
@@ -231,7 +251,7 @@
 
         async def call(http, log):
             worker = standin.Worker("w1")
-            worker_client = workers.WorkerClient(http, log)
+            worker_client = workers.WorkerClient(http, log, clock)
             result = await worker_client.start(self.start_effect(worker))
             assert result == ("ok", "")
             _, path, headers, body = worker.requests[0]
@@ -267,7 +287,7 @@
         async def call(http, log):
             worker = standin.Worker("w1")
             worker.fixed_answer = answer
-            worker_client = workers.WorkerClient(http, log)
+            worker_client = workers.WorkerClient(http, log, clock)
             assert (
                 await worker_client.start(self.start_effect(worker)) == expected
             )
@@ -281,7 +301,7 @@
         async def call(http, log):
             worker = standin.Worker("w1")
             worker.fault = "silent"
-            worker_client = workers.WorkerClient(http, log)
+            worker_client = workers.WorkerClient(http, log, clock)
             result, _ = await worker_client.start(self.start_effect(worker))
             assert result == "unknown"
             worker.address = "127.0.0.1:1"
@@ -290,6 +310,20 @@
 
         with_client(call)
 
+    def test_order_of_a_paused_process_is_not_sent(self):
+        """Guards against an order that a process sends after its permission
+        has run out, because it was paused between decision and sending."""
+
+        async def call(http, log):
+            worker = standin.Worker("w1")
+            worker_client = workers.WorkerClient(http, log, clock)
+            effect = self.start_effect(worker, until=NOW)
+            result, _ = await worker_client.start(effect)
+            assert result == "refused"
+            assert not worker.requests
+
+        with_client(call)
+
     def test_pace_sends_run_and_percentage(self):
         """Guards against a change of pace without the fencing token, with which
         a former leader could slow a task down."""
@@ -303,8 +337,10 @@
                 41,
                 900,
             ]
-            worker_client = workers.WorkerClient(http, log)
-            effect = fx.SetPace("w1", worker.address, 3, KEY, 2, 40, 300)
+            worker_client = workers.WorkerClient(http, log, clock)
+            effect = fx.SetPace(
+                "w1", worker.address, 3, KEY, 2, 40, 300, VALID_UNTIL
+            )
             assert await worker_client.pace(effect) == ("ok", "")
             _, path, _, body = worker.requests[0]
             assert path == "/api/pace"
@@ -327,7 +363,7 @@
             worker.runs[name] = [name, 2, "save", 41, 150]
             worker.ends = [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]]
             effect = fx.PollWorker("w1", worker.address, 3, 0, 0, 0, 500)
-            worker_client = workers.WorkerClient(http, log)
+            worker_client = workers.WorkerClient(http, log, clock)
             result, _, report = await worker_client.poll(effect)
             incarnation, _, running, ended = report
             assert (result, incarnation) == ("ok", 7)
@@ -345,17 +381,21 @@
         async def call(http, log):
             server = standin.Worker("cloud")
             machine_client = machines.MachineClient(
-                server.address, "n1", http, log
+                server.address, "n1", http, log, clock
             )
             server.fixed_answer = (200, {"machines": [], "next_token": None})
             assert await machine_client.list() == (True, ())
             server.fixed_answer = (409, {"reason": "busy"})
-            effect = fx.BeginMaintenance("m-1", 2, 12)
+            effect = fx.BeginMaintenance("m-1", 2, 12, VALID_UNTIL)
             assert await machine_client.begin_maintenance(effect) == (
                 "rejected",
                 "busy",
             )
+            expired = effect._replace(valid_until=NOW)
+            result, _ = await machine_client.begin_maintenance(expired)
+            assert result == "refused"
             _, path, headers, body = server.requests[-1]
+            assert len(server.requests) == 2
             assert path == "/api/machine-upkeep"
             assert headers["Skylarklug-Lease-Holder"] == "n1"
             assert headers["Skylarklug-Fence-Token"] == "12"
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -274,7 +274,7 @@
 class Node:
     """A node: the state of its reducer and the tables that it watches."""
 
-    def __init__(self, sim, name, incarnation):
+    def __init__(self, sim, name, incarnation, capacity=1.0):
         cfg = records.Settings(
             node=name,
             zone="z1",
@@ -282,11 +282,14 @@
             max_lease_ms=MAX_LEASE_MS,
             stop_grace_ms=6_000,
             status_ms=120_000,
+            capacity=capacity,
         )
         self.sim = sim
         self.name = name
         self.state = reducer.new_state(cfg, incarnation)
         self.alive = True
+        # What has arrived at a paused process; None while it runs.
+        self.paused_events = None
         self.watched = {}
         self.missed = set()
         self.logs = []
@@ -341,8 +344,8 @@
             call()
         self.now = end
 
-    def add_node(self, name):
-        node = Node(self, name, next(self.incarnations))
+    def add_node(self, name, capacity=1.0):
+        node = Node(self, name, next(self.incarnations), capacity)
         self.nodes[name] = node
         self.watch_table(node, "leadership")
         self.deliver(
@@ -357,15 +360,27 @@
     def kill(self, name):
         self.nodes.pop(name).alive = False
 
+    def pause(self, node):
+        """Suspends a process: what reaches it waits until it resumes."""
+        node.paused_events = []
+
+    def resume(self, node):
+        held, node.paused_events = node.paused_events, None
+        self.tick(node)
+        for make in held:
+            self.dispatch(node, make(self.now))
+
     def tick(self, node):
-        if not node.alive:
+        if not node.alive or node.paused_events is not None:
             return
         self.dispatch(node, events.Tick(self.now, self.now + WALL_OFFSET))
         self.after(TICK_INTERVAL_MS, lambda: self.tick(node))
 
     def deliver(self, node, delay, make):
         def arrive():
-            if node.alive:
+            if node.paused_events is not None:
+                node.paused_events.append(make)
+            elif node.alive:
                 self.dispatch(node, make(self.now))
 
         self.after(delay, arrive)
@@ -455,7 +470,7 @@
             else:
                 rows = self.store.table(table)
                 event = events.RowsChanged(self.now, table, True, rows)
-            if node.alive:
+            if node.alive and node.paused_events is None:
                 self.dispatch(node, event)
 
         self.after(STORE_DELAY_MS, read)
@@ -464,7 +479,8 @@
         """Ends idle watches; rereads tables whose changes were missed."""
         if not node.alive:
             return
-        if self.store.modes.get(node.name, "ok") in ("ok", "lose"):
+        reachable = self.store.modes.get(node.name, "ok") in ("ok", "lose")
+        if reachable and node.paused_events is None:
             for table in sorted(node.watched):
                 if table in node.missed:
                     self.watch_table(node, table)
--- a/tests/scheduler/test_faults.py
+++ b/tests/scheduler/test_faults.py
@@ -141,10 +141,9 @@
         sim.submit(1, fakes.step(3, runs_until_cancelled=True))
         sim.run(1_000)
         old_leader = sim.leader()
-        old_leader.alive = False
+        sim.pause(old_leader)
         sim.run(8_000)
-        old_leader.alive = True
-        sim.tick(old_leader)
+        sim.resume(old_leader)
         sim.run(3_000)
         assert not sim.find_problems()
         assert old_leader.state.leader is None
--- /dev/null
+++ b/tests/scheduler/test_leadership.py
@@ -0,0 +1,114 @@
+import scheduler_fakes as fakes
+
+from skylarklug.scheduler import events
+from skylarklug.scheduler import leadership
+from skylarklug.scheduler import records
+
+LARGE = 2.15
+SMALL = 0.5
+
+
+class TestLargestVmLeads:
+    def test_leadership_moves_to_a_larger_vm(self, deployment):
+        """Guards against a small VM that leads a large fleet, which it cannot
+        carry, while a large one is idle."""
+        sim = deployment(workers=3)
+        sim.submit(1, fakes.step(3, runs_until_cancelled=True))
+        sim.run(1_000)
+        sim.add_node("large", LARGE)
+        sim.run(6_000)
+        assert sim.leader().name == "large"
+        assert len(sim.starts) == 3
+        assert len(sim.running(1)) == 3
+        assert not sim.find_problems()
+
+    def test_leadership_stays_among_similar_vms(self, deployment):
+        """Guards against hand-overs without a benefit."""
+        sim = deployment(nodes=2)
+        sim.add_node("similar", 1.4)
+        sim.run(10_000)
+        assert sim.leader().state.leader.epoch == 1
+
+    def test_larger_vm_claims_first_after_a_crash(self, deployment):
+        """Guards against two take-overs in a row after a crash."""
+        sim = deployment(nodes=1)
+        for number in range(4):
+            sim.add_node(f"small{number}", SMALL)
+        sim.add_node("large", 1.4)
+        sim.run(500)
+        sim.kill("n0")
+        sim.run(4_000)
+        assert sim.leader().name == "large"
+        assert sim.leader().state.leader.epoch == 2
+
+    def test_others_claim_if_the_successor_is_gone(self, deployment):
+        """Guards against a fleet without a leader after a hand-over to a node
+        that has stopped meanwhile."""
+        sim = deployment(nodes=2)
+        leader = sim.leader()
+        sim.add_node("large", LARGE)
+        while leader.state.leader.successor != "large":
+            sim.run(5)
+        sim.kill("large")
+        sim.run(2_500)
+        assert sim.leader() is not None
+
+    def test_hand_over_whose_answer_is_lost(self, deployment):
+        """Guards against two leaders, or none, after a lost answer."""
+        sim = deployment(nodes=2)
+        sim.submit(1, fakes.step(4, runs_until_cancelled=True))
+        sim.run(500)
+        leader = sim.leader()
+        sim.add_node("large", LARGE)
+        while leader.state.leader.successor != "large":
+            sim.run(5)
+        sim.store.modes[leader.name] = "lose"
+        sim.run(6_000)
+        leading = [n for n in sim.nodes.values() if n.state.leader]
+        assert [node.name for node in leading] == ["large"]
+        assert len(sim.starts) == 4
+        assert not sim.find_problems()
+
+    def test_candidate_of_an_earlier_epoch_is_ignored(self, deployment):
+        """Guards against a hand-over to a node that asked another leader."""
+        sim = deployment(nodes=2)
+        leader = sim.leader()
+        row = events.Row(
+            leadership.TABLE,
+            leadership.CANDIDATE,
+            99,
+            {"node": "x", "epoch": 7},
+        )
+        event = events.RowsChanged(sim.now, leadership.TABLE, False, (row,))
+        sim.dispatch(leader, event)
+        sim.run(1_000)
+        assert sim.leader() is leader
+
+
+class TestMachineOrders:
+    def test_leaders_do_not_take_turns_at_the_machine_api(self, deployment):
+        """Guards against maintenance orders of two leaders within the time
+        for which the first may rely on being alone."""
+        sim = deployment(workers=6)
+        orders = []
+        perform = sim.on_BeginMaintenance
+
+        def record(node, effect):
+            orders.append((sim.now, node.name))
+            perform(node, effect)
+
+        sim.on_BeginMaintenance = record
+        names = tuple(f"m-w{number}" for number in range(6))
+        wave = records.Wave(1, names, 20.0, 1)
+        for node in sim.nodes.values():
+            sim.dispatch(node, events.WaveRequested(sim.now, wave))
+        sim.run(1_000)
+        first = sim.leader()
+        # The first leader loses the store but not the machine API.
+        sim.store.modes[first.name] = "silent"
+        sim.run(15_000)
+        assert {name for _, name in orders} > {first.name}
+        last = max(at for at, name in orders if name == first.name)
+        others = [at for at, name in orders if name != first.name]
+        assert min(others) - last > first.state.cfg.machine_lease_ms
+        assert sim.max_down == 1
