Survive malformed messages and unexpected errors; wait for slow workers

Any unexpected error in an adapter ended the process: a poll without `born`, a store answer without `ver`, a body that is no object, a job of 10^9 tasks (which each leader in turn would have died of), a lone surrogate. A feed ended for good after an unreadable row, so its node acted on old rows. A worker that took longer than 600 ms to answer lost its leases: each retried poll gave up before the answer came and carried no lease, and its tasks were started elsewhere.

Each failed poll makes the next one wait longer, up to 2.6 s. The fake workers now answer too late for a poll's timeout.

--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -108,7 +108,12 @@
     version = row.version if work is None else work.version
     job = state_lib.Job(spec, version)
     if work is not None:
-        _restore(job, work.value)
+        try:
+            _restore(job, work.value)
+        except (AttributeError, KeyError, TypeError, ValueError) as exc:
+            fields = {"job": row.key, "step": "work", "reason": repr(exc)}
+            effects.append(fx.Log("error", "job-unreadable", fields))
+            return
     leader.jobs[spec.job] = job
     queue = queue_of(state, job)
     objective = 0 if queue is None else queue.objective_ms
--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -304,7 +304,7 @@
             store.read(state, effects, TABLE, ROSTER, on_roster)
             return
         for row in answer.rows:
-            leader.former_workers = dict(row.value)
+            leader.former_workers = _decode_roster(row.value)
             leader.roster_version = row.version
         leader.loaded.add("roster")
 
@@ -312,6 +312,15 @@
     store.read(state, effects, TABLE, ROSTER, on_roster)
 
 
+def _decode_roster(value) -> dict[str, list[str]]:
+    """Returns address, service and zone by worker; skips malformed entries."""
+    roster = {}
+    for name, entry in value.items():
+        if isinstance(entry, list) and len(entry) == 3:
+            roster[name] = entry
+    return roster
+
+
 # --------------------------------------------------------------- heartbeats
 
 
--- a/packages/core/src/skylarklug/scheduler/reducer.py
+++ b/packages/core/src/skylarklug/scheduler/reducer.py
@@ -1,6 +1,7 @@
 """Reducer of the scheduler: applies an event to the state, returns effects."""
 
 from skylarklug.scheduler import advice
+from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import handover
 from skylarklug.scheduler import intake
 from skylarklug.scheduler import jobs
@@ -50,9 +51,39 @@
 
 
 def reduce(state: state_lib.State, event) -> list:
-    """Applies one event and returns the effects to perform, in order."""
+    """Applies one event and returns the effects to perform, in order.
+
+    An unexpected exception of a handler is logged, and the other handlers still
+    run: ending the process would not help, because the next leader would fail
+    on the same job or message.
+    """
     effects = []
     state.now = max(state.now, event.at)
     for handler in HANDLERS.get(type(event), ()):
-        handler(state, event, effects)
+        try:
+            handler(state, event, effects)
+        except Exception as exc:
+            _report_defect(event, handler, exc, effects)
+            _answer_request(state, event, effects)
     return effects
+
+
+def _answer_request(state, event, effects):
+    """Answers a client whose request failed here: its outcome is not known."""
+    req = getattr(event, "req", None)
+    if state.open_requests.pop(req, None) is not None:
+        body = {"reason": "unexpected error"}
+        effects.append(fx.Answer(req, 504, body, 0))
+
+
+def _report_defect(event, handler, exc, effects):
+    place = exc.__traceback__
+    while place.tb_next is not None:
+        place = place.tb_next
+    fields = {
+        "step": f"{handler.__module__}.{type(event).__name__}",
+        "reason": repr(exc),
+        "line": place.tb_lineno,
+    }
+    effects.append(fx.Log("error", "defect", fields))
+    effects.append(fx.Measure("skylarklug.defects", 1, {}))
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -19,6 +19,11 @@
 POLL_TIMEOUT_MARGIN_MS = 600
 # Pause between two polls. Runs that end within it are reported in one answer.
 POLL_PAUSE_MS = 30
+# Each failed poll adds this much to the timeout of the next one, up to
+# MAX_POLL_TIMEOUT_MS. A worker that is only slow must be able to answer, or its
+# leases end and its tasks are started again elsewhere.
+POLL_TIMEOUT_STEP_MS = 1_000
+MAX_POLL_TIMEOUT_MS = 2_600
 # Delay before the next poll after a failed one.
 POLL_RETRY_MS = 300
 # Pause between polls while the store has not committed all reported ends. Such
@@ -131,6 +136,12 @@
         worker.lease_granted_at = state.now
         if not worker.unsaved_ends:
             wait_ms = POLL_WAIT_MS
+    timeout_ms = min(
+        MAX_POLL_TIMEOUT_MS,
+        wait_ms
+        + POLL_TIMEOUT_MARGIN_MS
+        + worker.failed_polls * POLL_TIMEOUT_STEP_MS,
+    )
     effects.append(
         fx.PollWorker(
             worker.name,
@@ -139,7 +150,7 @@
             worker.acknowledged,
             lease_until,
             wait_ms,
-            wait_ms + POLL_TIMEOUT_MARGIN_MS,
+            timeout_ms,
         )
     )
 
--- a/packages/node/src/skylarklugd/feeds.py
+++ b/packages/node/src/skylarklugd/feeds.py
@@ -55,6 +55,14 @@
                 self._log("warning", "history-lost", fields)
             except exceptions.SkylarklugError as exc:
                 await self._back_off(exc)
+            except Exception as exc:
+                # A malformed response. Without this the feed would end, and
+                # the node would act on old rows from then on.
+                await self._back_off(
+                    exceptions.ProtocolError(
+                        repr(exc), step="read feed", peer=self._table
+                    )
+                )
             else:
                 self._on_success()
 
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import random
 import time
 from typing import Any
@@ -164,22 +165,30 @@
         finally:
             self._dispatching = False
 
-    def _spawn(self, coroutine):
+    def _spawn(self, coroutine, failure=None):
+        """Runs a call to an external service.
+
+        Args:
+            coroutine: The call; it dispatches its result.
+            failure: Returns the event to dispatch, given the time, if the call
+                ends with an unexpected exception; the reducer would otherwise
+                wait forever.
+        """
         call = asyncio.get_running_loop().create_task(coroutine)
         self._pending_calls.add(call)
-        call.add_done_callback(self._on_call_done)
+        call.add_done_callback(
+            functools.partial(self._on_call_done, failure=failure)
+        )
 
-    def _on_call_done(self, call):
+    def _on_call_done(self, call, failure):
         self._pending_calls.discard(call)
         if call.cancelled() or call.exception() is None:
             return
-        # An unexpected exception in an adapter. The process exits and is
-        # restarted, because the reducer would otherwise wait forever for a
-        # result that is never dispatched.
-        exc = call.exception()
-        self.log("error", "defect", {"reason": repr(exc)})
-        if not self._exited.done():
-            self._exited.set_exception(exc)
+        fields = {"step": "call", "reason": repr(call.exception())}
+        self.log("error", "defect", fields)
+        self._meters.record("skylarklug.defects", 1, {})
+        if failure is not None:
+            self.dispatch(failure(boot_ms()))
 
     # -------------------------------------------------------------- effects
 
@@ -219,7 +228,12 @@
             self.dispatch(event)
 
     def _commit(self, effect):
-        self._spawn(self._run_commit(effect))
+        self._spawn(
+            self._run_commit(effect),
+            lambda at: events.StoreAnswered(
+                at, at, effect.op, "unknown", 0, ()
+            ),
+        )
 
     async def _run_commit(self, effect):
         sent_at = boot_ms()
@@ -231,7 +245,12 @@
         )
 
     def _read_rows(self, effect):
-        self._spawn(self._run_read(effect))
+        self._spawn(
+            self._run_read(effect),
+            lambda at: events.StoreAnswered(
+                at, at, effect.op, "refused", 0, ()
+            ),
+        )
 
     async def _run_read(self, effect):
         sent_at = boot_ms()
@@ -262,7 +281,12 @@
         )
 
     def _poll_worker(self, effect):
-        self._spawn(self._run_worker_poll(effect))
+        self._spawn(
+            self._run_worker_poll(effect),
+            lambda at: events.OrderAnswered(
+                at, at, effect.worker, "look", None, 0, "unknown", "defect"
+            ),
+        )
 
     async def _run_worker_poll(self, effect):
         sent_at = boot_ms()
@@ -288,13 +312,28 @@
         )
 
     def _start_run(self, effect):
-        self._spawn(self._run_order("start", effect))
+        self._send_order("start", effect)
 
     def _stop_run(self, effect):
-        self._spawn(self._run_order("stop", effect))
+        self._send_order("stop", effect)
 
     def _set_pace(self, effect):
-        self._spawn(self._run_order("pace", effect))
+        self._send_order("pace", effect)
+
+    def _send_order(self, op, effect):
+        self._spawn(
+            self._run_order(op, effect),
+            lambda at: events.OrderAnswered(
+                at,
+                at,
+                effect.worker,
+                op,
+                effect.key,
+                effect.attempt,
+                "unknown",
+                "defect",
+            ),
+        )
 
     async def _run_order(self, op, effect):
         sent_at = boot_ms()
@@ -314,7 +353,19 @@
         )
 
     def _request_advice(self, effect):
-        self._spawn(self._run_advice_request(effect))
+        self._spawn(
+            self._run_advice_request(effect),
+            lambda at: events.AdviceAnswered(
+                at,
+                effect.job,
+                effect.occurrence,
+                effect.step,
+                False,
+                effect.workers,
+                {},
+                0,
+            ),
+        )
 
     async def _run_advice_request(self, effect):
         ok, tickets, valid_ms = await self._ports.advice.request(effect)
@@ -332,14 +383,22 @@
         )
 
     def _list_machines(self, effect):
-        self._spawn(self._run_list_machines())
+        self._spawn(
+            self._run_list_machines(),
+            lambda at: events.MachinesListed(at, False, ()),
+        )
 
     async def _run_list_machines(self):
         ok, machines = await self._ports.machines.list()
         self.dispatch(events.MachinesListed(boot_ms(), ok, machines))
 
     def _begin_maintenance(self, effect):
-        self._spawn(self._run_begin_maintenance(effect))
+        self._spawn(
+            self._run_begin_maintenance(effect),
+            lambda at: events.MaintenanceAnswered(
+                at, effect.machine, "unknown", "defect"
+            ),
+        )
 
     async def _run_begin_maintenance(self, effect):
         result, reason = await self._ports.machines.begin_maintenance(effect)
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -402,6 +402,8 @@
 
     def on_Log(self, node, effect):  # noqa: N802
         node.logs.append((self.now, effect.event, effect.fields))
+        if effect.event == "defect":
+            self.problems.append(f"defect: {effect.fields}")
 
     def on_SetReady(self, node, effect):  # noqa: N802
         node.ready = effect.ready
@@ -580,6 +582,9 @@
                 wait += worker.poll_delay_ms
             if op == "look" and found[0] == "ok" and effect.wait_ms:
                 wait += 0 if found[2][3] else 200
+            if wait > effect.timeout_ms:
+                answer(effect.timeout_ms, "unknown", "slow")
+                return
             answer(wait, *found)
 
         self.after(LINK_DELAY_MS, arrive)
--- a/tests/scheduler/test_faults.py
+++ b/tests/scheduler/test_faults.py
@@ -184,6 +184,19 @@
         assert len(sim.starts) == 3
         assert not sim.find_problems()
 
+    def test_tasks_of_slow_worker_keep_running(self, deployment):
+        """Guards against leases that end, and tasks that start elsewhere,
+        because a worker answers slowly but in time for its leases."""
+        sim = deployment()
+        sim.submit(1, fakes.step(2, cpu=10_000, runs_until_cancelled=True))
+        sim.run(1_000)
+        for worker in sim.workers.values():
+            worker.poll_delay_ms = 1_500
+        sim.run(30_000)
+        assert len(sim.starts) == 2
+        assert len(sim.running(1)) == 2
+        assert not sim.find_problems()
+
     def test_restarted_worker_loses_its_runs_at_once(self, deployment):
         """Guards against waiting for the lease of a worker that restarted."""
         sim = deployment()
