Bound starts in flight, keep small VMs from leading, leave the rotation

Change: 64 start orders in flight at most; a small VM that led releases the leadership after its restart, and the largest capacity stays in the row; the roster also shrinks; a node that the store has not served for a second is not ready.

Tests: mass return, silent workers, restart of everything, a worker that has left, refused and silent nodes, lost answers.

--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -101,6 +101,13 @@
     rows: tuple[Row, ...]
 
 
+class FeedFailed(NamedTuple):
+    """A watched table could not be read; the read is repeated."""
+
+    at: int
+    table: str
+
+
 class ConfigurationRead(NamedTuple):
     """A version of the operator's configuration was read."""
 
--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -127,6 +127,17 @@
     effects.append(fx.Log("warning", "leadership-lost", fields))
 
 
+def _largest_capacity(state):
+    """Returns the capacity of the largest VM known to have led, in cores."""
+    return (state.owner or {}).get("largest", 0.0)
+
+
+def _is_small(state):
+    """Returns whether a much larger VM has led, or asked to lead."""
+    largest = _largest_capacity(state) or DEFAULT_LEADER_CAPACITY
+    return CANDIDATE_FACTOR * state.cfg.capacity <= largest
+
+
 def _owner_value(state, epoch, released, successor=""):
     value = {
         "node": state.cfg.node,
@@ -134,6 +145,7 @@
         "epoch": epoch,
         "released": released,
         "capacity": state.cfg.capacity,
+        "largest": max(state.cfg.capacity, _largest_capacity(state)),
     }
     if successor:
         value["successor"] = successor
@@ -204,8 +216,7 @@
         return 0
     if successor:
         delay_ms += SUCCESSOR_HEAD_START_MS
-    capacity = owner.get("capacity", DEFAULT_LEADER_CAPACITY)
-    if CANDIDATE_FACTOR * state.cfg.capacity <= capacity:
+    if _is_small(state):
         delay_ms += SMALL_VM_DELAY_MS
     return delay_ms
 
@@ -232,6 +243,9 @@
         state.claim_due_at = state.now + _claim_delay_ms(state)
         if state.claim_due_at > state.now:
             return
+    if _must_release_first(state):
+        _release_former(state, effects)
+        return
     state.claiming = True
     epoch = (state.owner or {}).get("epoch", 0) + 1
     value = _owner_value(state, epoch, released=False)
@@ -260,6 +274,35 @@
     )
 
 
+def _must_release_first(state):
+    """Returns whether this process restarted on a small VM that led.
+
+    Only this node knows at once that the former leader has ended.
+    """
+    owner = state.owner
+    if owner is None or owner.get("released") or not _is_small(state):
+        return False
+    return owner.get("node") == state.cfg.node
+
+
+def _release_former(state, effects):
+    """Releases the leadership of a former process of this node."""
+    state.claiming = True
+
+    def done(state, effects, answer):
+        state.claiming = False
+        state.claim_due_at = state.now + CLAIM_RETRY_MS
+
+    value = {**state.owner, "released": True}
+    store.commit(
+        state,
+        effects,
+        [fx.Check(TABLE, OWNER, state.owner_version)],
+        [fx.Write(TABLE, OWNER, value)],
+        done,
+    )
+
+
 def _start_leading(state, effects, epoch, answer, value, planned, first):
     leader = state_lib.LeaderState(epoch, answer.version, answer.sent_at)
     state.leader = leader
@@ -416,6 +459,7 @@
     leader = state.leader
     if leader is not None and value.get("epoch") == leader.epoch:
         leader.successor = value["node"]
+        leader.successor_capacity = value.get("capacity", 0.0)
 
 
 def _hand_over(state, effects):
@@ -439,6 +483,7 @@
     leader = state.leader
     step_down(state, effects, "released")
     value = _owner_value(state, leader.epoch, True, successor)
+    value["largest"] = max(value["largest"], leader.successor_capacity)
     store.commit(
         state,
         effects,
--- a/packages/core/src/skylarklug/scheduler/lifecycle.py
+++ b/packages/core/src/skylarklug/scheduler/lifecycle.py
@@ -1,4 +1,10 @@
-"""Configuration, settings, readiness and graceful shutdown of a node."""
+"""Configuration, settings, readiness and graceful shutdown of a node.
+
+Load pattern: the store refuses a third of the VMs for seconds and serves the
+others. A node that it refuses can accept no job, so it reports that it is not
+ready and new connections go to the others. If the store refuses all of them,
+the balancer uses all.
+"""
 
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
@@ -11,6 +17,11 @@
 EXIT_MARGIN_MS = 700
 
 
+# A node is not ready once the store has not served it for this time. Feeds get
+# an answer more often than that, so a single lost answer does not count.
+STORE_LOST_MS = 1_000
+
+
 def _on_configuration(state, event, effects):
     current = state.configuration
     if current is not None and event.cfg.version <= current.version:
@@ -25,17 +36,44 @@
 
 
 def _update_ready(state, effects):
-    ready = state.configuration is not None and not state.stopping_at
+    store_lost = (
+        state.store_lost_at and state.now - state.store_lost_at > STORE_LOST_MS
+    )
+    reason = "configured"
+    if state.configuration is None:
+        reason = "no configuration"
+    elif state.stopping_at:
+        reason = "stopping"
+    elif store_lost:
+        reason = "the store does not serve this node"
+    ready = reason == "configured"
     if ready == state.ready:
         return
     state.ready = ready
-    reason = "configured"
-    if state.stopping_at:
-        reason = "stopping"
     effects.append(fx.SetReady(ready, reason))
     effects.append(fx.Log("info", "ready", {"ready": ready, "reason": reason}))
 
 
+def _on_feed_failed(state, event, effects):
+    _record_store_access(state, effects, False)
+
+
+def _on_rows(state, event, effects):
+    _record_store_access(state, effects, True)
+
+
+def _on_store_answer(state, event, effects):
+    _record_store_access(state, effects, event.status in ("ok", "conflict"))
+
+
+def _record_store_access(state, effects, succeeded):
+    if succeeded and state.store_lost_at:
+        state.store_lost_at = 0
+        _update_ready(state, effects)
+    elif not succeeded and not state.store_lost_at:
+        state.store_lost_at = state.now
+
+
 def _on_settings(state, event, effects):
     changed = []
     for name in event.cfg._fields:
@@ -65,6 +103,8 @@
 
 def _on_tick(state, event, effects):
     state.wall_offset = event.wall_ms - event.at
+    if state.store_lost_at:
+        _update_ready(state, effects)
     if not state.stopping_at:
         return
     elapsed = state.now - state.stopping_at
@@ -80,7 +120,10 @@
 
 HANDLERS = {
     events.ConfigurationRead: _on_configuration,
+    events.FeedFailed: _on_feed_failed,
+    events.RowsChanged: _on_rows,
     events.SettingsChanged: _on_settings,
+    events.StoreAnswered: _on_store_answer,
     events.StopRequested: _on_stop,
     events.Tick: _on_tick,
 }
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -10,6 +10,10 @@
 
 # Workers answer within a few milliseconds, distant ones within ten.
 ORDER_TIMEOUT_MS = 400
+# Start orders in flight, at most. After an outage, hundreds of tasks fit at
+# once; a leader that orders them all in one pass cannot read the answers before
+# they time out, and repeats the orders.
+MAX_STARTS_IN_FLIGHT = 64
 # Delay before an order without an answer is repeated, after its timeout.
 ORDER_RETRY_MS = 300
 # Attempt numbers of each epoch are in a range of this size. A leader that has
@@ -47,6 +51,11 @@
     worker.used[2] -= need.accelerators
 
 
+def may_start_more(leader) -> bool:
+    """Returns whether another start order may be sent now."""
+    return leader.starts_in_flight < MAX_STARTS_IN_FLIGHT
+
+
 def next_attempt(leader, task) -> int:
     """Returns an attempt number above all earlier ones, of any leader."""
     return max(task.attempt, (leader.epoch - 1) * ATTEMPTS_PER_EPOCH) + 1
@@ -92,6 +101,7 @@
     task.ordered_at = state.now
     task.order_count += 1
     worker.lease_granted_at = state.now
+    leader.starts_in_flight += 1
     effects.append(
         fx.StartRun(
             worker.name,
@@ -228,6 +238,9 @@
     leader = state.leader
     if leader is None or event.key is None:
         return
+    if event.op == "start":
+        # Orders of an earlier leadership of this node are answered too.
+        leader.starts_in_flight = max(0, leader.starts_in_flight - 1)
     if event.result == "rejected" and event.reason == "fence":
         suspend_orders(state, effects, event.worker)
         return
@@ -361,7 +374,8 @@
         if not worker.is_responsive(state.now):
             continue
         if task.status == state_lib.STARTING:
-            _send_start(state, effects, task, worker)
+            if may_start_more(leader):
+                _send_start(state, effects, task, worker)
         elif not task.confirmed_at:
             _send_stop(state, effects, task)
 
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -353,6 +353,8 @@
         leader.ready.values(), key=lambda group: _group_sort_key(state, group)
     )
     for group in groups:
+        if not orders.may_start_more(leader):
+            break
         task = next(iter(group.values()))
         if (
             not task.job.start_recorded
@@ -442,6 +444,8 @@
     for task in list(group.values()):
         if not _may_start(state, task):
             continue
+        if not orders.may_start_more(leader):
+            return True
         if candidates is None:
             candidates = _permitted_workers(state, effects, task)
         if search is None or search.profile != _search_profile(state, task):
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -300,6 +300,8 @@
             image.
         saved_coefficients: Coefficients in the store, for a successor.
         successor: Node on a larger VM that asks to take over; empty for none.
+        successor_capacity: Capacity of that VM, in cores.
+        starts_in_flight: Start orders that are not answered yet.
     """
 
     def __init__(self, epoch: int, owner_version: int, now: int):
@@ -308,6 +310,8 @@
         self.since = now
         self.confirmed_at = now
         self.successor = ""
+        self.successor_capacity = 0.0
+        self.starts_in_flight = 0
         self.settled_at = 0
         self.settled = False
         self.loaded: set[str] = set()
@@ -332,6 +336,7 @@
         self.work_rows: dict[str, Any] = {}
         self.roster: set[str] = set()
         self.roster_saved: set[str] = set()
+        self.roster_saved_at = 0
         self.roster_saving = False
         self.roster_due_at = 0
         self.roster_version = 0
@@ -372,6 +377,8 @@
         self.owner_version = 0
         self.owner_updated_at = 0
         self.leadership_read_at = -1
+        # Since when the store has not served this node; 0 while it does.
+        self.store_lost_at = 0
         self.heartbeat: Any = {}
         self.heartbeat_version = 0
         self.claiming = False
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -32,6 +32,9 @@
 # A run that is missing from this many polls in a row is lost: it has ended
 # without a report.
 POLLS_UNTIL_LOST = 2
+# Interval at which workers that have left are removed from the roster. A new
+# leader waits for the answers of all workers in it.
+ROSTER_SHRINK_INTERVAL_MS = 1_000
 # Delay before a failed commit of the roster is repeated.
 ROSTER_RETRY_MS = 200
 
@@ -384,8 +387,12 @@
     """Saves the roster, so that a worker is in it before its first order."""
     leader = state.leader
     names = set(leader.workers)
-    if names <= leader.roster_saved or leader.roster_saving:
+    if names == leader.roster_saved or leader.roster_saving:
         return
+    if names < leader.roster_saved:
+        # Not urgent: a successor only asks workers in vain that have left.
+        if state.now < leader.roster_saved_at + ROSTER_SHRINK_INTERVAL_MS:
+            return
     if state.now < leader.roster_due_at:
         return
     leader.roster_saving = True
@@ -402,6 +409,7 @@
             leadership.record_commit(state, answer)
             leader.roster_version = answer.version
             leader.roster_saved = names
+            leader.roster_saved_at = state.now
             leader.placement_requested = True
             return
         leader.roster_due_at = state.now + ROSTER_RETRY_MS
--- a/packages/node/src/skylarklugd/feeds.py
+++ b/packages/node/src/skylarklugd/feeds.py
@@ -27,14 +27,18 @@
         store: Has `scan(table)` and `changes(table, after, wait_ms)`; both
             return (version, rows), and raise `Unavailable` or `HistoryLost`.
         on_rows: Called with (table, is_snapshot, rows) for each response.
+        on_failure: Called with the table for each failed request.
         log: Called with (level, event, fields).
         rng: Source of jitter for retries.
     """
 
-    def __init__(self, table, store, on_rows, log, rng: random.Random):
+    def __init__(
+        self, table, store, on_rows, on_failure, log, rng: random.Random
+    ):
         self._table = table
         self._store = store
         self._on_rows = on_rows
+        self._on_failure = on_failure
         self._log = log
         self._rng = rng
         self._version = None
@@ -88,6 +92,7 @@
             }
             self._log("warning", "feed-lost", fields)
         self._failures += 1
+        self._on_failure(self._table)
         delay_ms = min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * self._failures)
         await asyncio.sleep(delay_ms * self._rng.uniform(0.5, 1.0) / 1000)
 
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -214,6 +214,7 @@
             effect.table,
             self._ports.store,
             self._on_rows,
+            self._on_feed_failed,
             self.log,
             self._rng,
         )
@@ -227,6 +228,9 @@
         for event in self._ports.rows(boot_ms(), table, is_snapshot, rows):
             self.dispatch(event)
 
+    def _on_feed_failed(self, table):
+        self.dispatch(events.FeedFailed(boot_ms(), table))
+
     def _commit(self, effect):
         self._spawn(
             self._run_commit(effect),
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -490,6 +490,9 @@
                     event = events.RowsChanged(self.now, table, False, ())
                     self.dispatch(node, event)
             node.missed.clear()
+        elif node.paused_events is None:
+            for table in sorted(node.watched):
+                self.dispatch(node, events.FeedFailed(self.now, table))
         self.after(WATCH_POLL_MS, lambda: self.poll_watches(node))
 
     def publish_changes(self, changed):
--- a/tests/scheduler/test_faults.py
+++ b/tests/scheduler/test_faults.py
@@ -166,6 +166,33 @@
         assert not sim.find_problems()
 
 
+class TestReadiness:
+    @pytest.mark.parametrize("mode", ["refuse", "silent"])
+    def test_node_that_the_store_refuses_is_not_ready(self, deployment, mode):
+        """Guards against clients that are sent to a node which can accept no
+        job, while the store serves the others (inc-3d36)."""
+        sim = deployment()
+        node = next(n for n in sim.nodes.values() if not n.state.leader)
+        sim.store.modes[node.name] = mode
+        sim.run(2_600)
+        ready = {name for name, other in sim.nodes.items() if other.ready}
+        assert ready == set(sim.nodes) - {node.name}
+        sim.store.modes.clear()
+        sim.run(1_500)
+        assert node.ready
+
+    def test_lost_answers_do_not_count(self, deployment):
+        """Guards against nodes that leave the rotation although they can accept
+        jobs, because some answers of the store are lost."""
+        sim = deployment()
+        node = next(n for n in sim.nodes.values() if not n.state.leader)
+        for number in range(1, 12):
+            sim.store.modes[node.name] = "lose" if number % 2 else "ok"
+            sim.submit(number, fakes.step(), node=node.name)
+            sim.run(500)
+            assert node.ready
+
+
 class TestWorkers:
     def test_tasks_of_silent_worker_restart_after_lease_expiry(
         self, deployment
--- a/tests/scheduler/test_leadership.py
+++ b/tests/scheduler/test_leadership.py
@@ -2,6 +2,7 @@
 
 from skylarklug.scheduler import events
 from skylarklug.scheduler import leadership
+from skylarklug.scheduler import orders
 from skylarklug.scheduler import records
 
 LARGE = 2.15
@@ -112,3 +113,81 @@
         others = [at for at, name in orders if name != first.name]
         assert min(others) - last > first.state.cfg.machine_lease_ms
         assert sim.max_down == 1
+
+
+class TestRestartOfLeader:
+    def test_small_vm_does_not_lead_again_after_a_restart(self, deployment):
+        """Guards against a small VM that leads after all machines lost power,
+        because only it knows at once that the leader has ended."""
+        sim = deployment(nodes=1)
+        sim.add_node("large", LARGE)
+        sim.run(5_000)
+        assert sim.leader().name == "large"
+        sim.add_node("small", SMALL)
+        sim.store.modes["large"] = "silent"
+        sim.kill("n0")
+        while sim.leader().name != "small":
+            sim.run(20)
+        for name in list(sim.nodes):
+            sim.kill(name)
+        sim.store.modes.clear()
+        sim.add_node("small", SMALL)
+        sim.add_node("large", LARGE)
+        sim.run(1_500)
+        assert sim.leader().name == "large"
+
+    def test_worker_that_has_left_does_not_delay_a_takeover(self, deployment):
+        """Guards against a new leader that waits for the leases of a worker
+        that left long ago, and uses it as if it were there."""
+        sim = deployment(workers=4)
+        sim.submit(1, fakes.step(3, runs_until_cancelled=True))
+        sim.run(1_000)
+        used = {worker for _, worker in sim.running(1)}
+        gone = next(name for name in sim.workers if name not in used)
+        del sim.workers[gone]
+        sim.publish_workers()
+        sim.run(15_000)
+        sim.kill(sim.leader().name)
+        sim.run(5_000)
+        leader = sim.leader().state.leader
+        assert leader.settled
+        assert gone not in leader.workers
+        assert gone not in leader.roster_saved
+
+
+class TestMassReturn:
+    def test_orders_in_flight_are_bounded(self, deployment):
+        """Guards against hundreds of starts in one pass, as after an outage,
+        whose answers come back later than their timeout."""
+        sim = deployment(workers=40)
+        for worker in sim.workers.values():
+            worker.cpu = 64_000
+        sim.publish_workers()
+        most = 0
+        perform = sim.on_StartRun
+
+        def record(node, effect):
+            nonlocal most
+            perform(node, effect)
+            most = max(most, node.state.leader.starts_in_flight)
+
+        sim.on_StartRun = record
+        for number in range(1, 41):
+            sim.submit(number, fakes.step(30, cpu=100))
+        sim.run(4_000)
+        assert len(sim.starts) == 1_200
+        assert most == orders.MAX_STARTS_IN_FLIGHT
+        assert sim.leader().state.leader.starts_in_flight == 0
+        assert not sim.find_problems()
+
+    def test_silent_workers_free_the_window(self, deployment):
+        """Guards against a leader that stops starting tasks for good because
+        workers never answered."""
+        sim = deployment(workers=6)
+        for worker in sim.workers.values():
+            worker.unanswered_starts = 40
+        sim.submit(1, fakes.step(60, cpu=100))
+        sim.run(20_000)
+        assert sim.state_of(1) == "done"
+        assert sim.leader().state.leader.starts_in_flight == 0
+        assert not sim.find_problems()
