Order, rejection and reasons for waiting as decisions of their own

Causes: `waited_ms` started anew after a take-over and counted the run of an earlier step; a `place` line did not say what a task had waited for; a node that the store refuses held clients until a time-out and answered 504, although it knew that nothing could run, and refused states that it had read before.

Change: `order` (deadline, late and expired jobs last), `rejection` (at once while the store does not serve the node; Retry-After by length of the outage and by priority) and `waiting` (reason codes, in the log as `waited_for` and in the metric skylarklug.tasks.waiting by reason) are modules without I/O. The wait is counted from acceptance, which is stored, or from the end of the step before. Each node remembers states: final ones need no read any more, and while the store does not answer the latest known one is given.

--- a/packages/core/src/skylarklug/scheduler/intake.py
+++ b/packages/core/src/skylarklug/scheduler/intake.py
@@ -9,10 +9,12 @@
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import records
+from skylarklug.scheduler import rejection
 from skylarklug.scheduler import store
 
-# Retry-After of answers with status 503.
-RETRY_AFTER_S = 1
+# Job states that a node remembers, to answer while the store does not. An entry
+# takes about 200 bytes.
+MAX_KNOWN_STATES = 5_000
 # Share of the client's deadline that one store call may take. A slow store
 # queues transactions for up to a second, and a client whose call fails needs
 # the remaining time for a retry.
@@ -38,10 +40,14 @@
     )
 
 
-def _refuse(state, effects, req, status, job, reason):
+def _refuse(state, effects, req, status, job, reason, priority=0):
     fields = {"req": req, "job": job, "status": status, "reason": reason}
     effects.append(fx.Log("warning", "request-failed", fields))
-    retry = RETRY_AFTER_S if status == 503 else 0
+    retry = 0
+    if status == 503:
+        retry = rejection.retry_after_s(
+            state.store_lost_at, state.now, priority
+        )
     _answer(state, effects, req, status, {"reason": reason}, retry)
 
 
@@ -70,11 +76,20 @@
     return len(text) == JOB_ID_LENGTH and _HEX.issuperset(text.lower())
 
 
-def _refuse_store_failure(state, effects, req, job, answer, what):
+def _remember_state(state, job, job_state):
+    """Remembers the latest known state of a job."""
+    known = state.known_states
+    known.pop(job, None)
+    known[job] = job_state
+    if len(known) > MAX_KNOWN_STATES:
+        del known[next(iter(known))]
+
+
+def _refuse_store_failure(state, effects, req, job, answer, what, priority=0):
     """Answers a request whose store call failed."""
     if answer.status == "refused":
         reason = f"the store did nothing ({what})"
-        _refuse(state, effects, req, 503, job, reason)
+        _refuse(state, effects, req, 503, job, reason, priority)
     else:
         reason = f"no answer from the store ({what})"
         _refuse(state, effects, req, 504, job, reason)
@@ -94,6 +109,10 @@
     if problem:
         _refuse(state, effects, event.req, 400, job, problem)
         return
+    if rejection.is_store_lost(state.store_lost_at, state.now):
+        reason = "the store does not serve this node (submit)"
+        _refuse(state, effects, event.req, 503, job, reason, queue.priority)
+        return
     spec = event.body._replace(
         job=job,
         queue=queue.name,
@@ -109,19 +128,23 @@
             fx.Write("jobs", job, codec.encode_job(spec)),
             fx.Write("work", job, work),
         ],
-        functools.partial(_on_stored, event.req, job, queue.name),
+        functools.partial(_on_stored, event.req, job, queue),
         _timeout_ms(event.deadline_ms),
     )
 
 
 def _on_stored(req, job, queue, state, effects, answer):
     if answer.status not in ("ok", "conflict"):
-        _refuse_store_failure(state, effects, req, job, answer, "submit")
+        _refuse_store_failure(
+            state, effects, req, job, answer, "submit", queue.priority
+        )
         return
+    if answer.status == "ok":
+        _remember_state(state, job, records.PENDING)
     fields = {
         "job": job,
         "req": req,
-        "queue": queue,
+        "queue": queue.name,
         "repeated": answer.status == "conflict",
         "version": answer.version,
         "ms": state.now - answer.sent_at,
@@ -146,6 +169,13 @@
         waiting = state.heartbeat.get("waiting", {}).get(queue.name, 0)
         _answer(state, effects, event.req, 200, {"waiting": waiting})
         return
+    known = state.known_states.get(job)
+    if known in records.FINAL_STATES:
+        _answer(state, effects, event.req, 200, {"state": known})
+        return
+    if rejection.is_store_lost(state.store_lost_at, state.now):
+        _answer_known_state(state, effects, event.req, job)
+        return
     done = functools.partial(_on_state_read, event.req, job)
     _read_work_row(state, effects, event, job, done)
 
@@ -161,15 +191,31 @@
 
 def _on_state_read(req, job, state, effects, answer):
     if answer.status != "ok":
-        _refuse_store_failure(state, effects, req, job, answer, "state")
+        _answer_known_state(state, effects, req, job)
         return
     if not answer.rows:
+        state.known_states.pop(job, None)
         _answer(state, effects, req, 410)
         return
     job_state = answer.rows[0].value["state"]
+    _remember_state(state, job, job_state)
     _answer(state, effects, req, 200, {"state": job_state})
 
 
+def _answer_known_state(state, effects, req, job):
+    """Answers from memory while the store does not answer.
+
+    A state never goes back, so the latest one that was read may be outdated
+    but not wrong: a job known as running has been accepted and was running.
+    """
+    known = state.known_states.get(job)
+    if known is None:
+        reason = "the store does not serve this node (state)"
+        _refuse(state, effects, req, 503, job, reason)
+        return
+    _answer(state, effects, req, 200, {"state": known})
+
+
 # ------------------------------------------------------------------- cancel
 
 
@@ -190,6 +236,7 @@
         _answer(state, effects, req, 410)
         return
     if answer.rows[0].value["state"] in records.FINAL_STATES:
+        _remember_state(state, job, answer.rows[0].value["state"])
         _answer(state, effects, req, 200)
         return
     cancel_row = fx.Write("jobs", job + CANCEL_SUFFIX, {"at": state.wall_ms})
--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -8,6 +8,7 @@
 from skylarklug.scheduler import events
 from skylarklug.scheduler import intake
 from skylarklug.scheduler import interference_model
+from skylarklug.scheduler import order
 from skylarklug.scheduler import orders
 from skylarklug.scheduler import records
 from skylarklug.scheduler import state as state_lib
@@ -16,11 +17,6 @@
 # A commit records the start of a timed job this long before it is due, so that
 # its tasks can start on time.
 RECORD_AHEAD_MS = 1_000
-# A job that takes longer than this many times the time until its deadline earns
-# nothing. It still runs, but after all jobs that can earn something.
-EXPIRY_FACTOR = 3
-# Value of `lateness` for such a job.
-EXPIRED = 2
 # Timed tasks start this much after they are due, because clocks differ
 # slightly and a task must not start early.
 START_MARGIN_MS = 30
@@ -49,15 +45,19 @@
     return 0 if queue is None else queue.priority
 
 
+def urgency_of(state, job, has_deadline=True) -> order.Urgency:
+    """Returns what decides when waiting tasks of the job are placed."""
+    return order.Urgency(
+        priority_of(state, job),
+        job.spec.accepted_ms,
+        job.deadline,
+        has_deadline and not job.spec.repeats,
+    )
+
+
 def lateness(state, job) -> int:
-    """Returns 0 for a job on time, 1 for a late job, or `EXPIRED`."""
-    if job.spec.repeats:
-        return 0
-    now = state.wall_ms
-    allowed_ms = job.deadline - job.spec.accepted_ms
-    if now > job.spec.accepted_ms + EXPIRY_FACTOR * allowed_ms:
-        return EXPIRED
-    return 1 if now > job.deadline else 0
+    """Returns how late the job is, as `order.lateness` does."""
+    return order.lateness(urgency_of(state, job), state.wall_ms)
 
 
 def mark_dirty(leader, job):
@@ -199,7 +199,7 @@
             task.failures = job.failures.setdefault(key, set())
             task.not_before = not_before
             task.held_until = held_until
-            task.waiting_since = state.now
+            task.waiting_since = _accepted_at(state, job, due)
             job.tasks[key] = task
     for number, step in enumerate(job.spec.steps):
         if _is_ready(job, occurrence, step):
@@ -213,11 +213,23 @@
     return True
 
 
-def _enqueue_step(leader, job, occurrence, number):
+def _accepted_at(state, job, due):
+    """Returns when an occurrence began to wait, on the clock of events.
+
+    The stored time of acceptance survives a take-over.
+    """
+    since = due or job.spec.accepted_ms
+    return min(state.now, since - state.wall_offset)
+
+
+def _enqueue_step(leader, job, occurrence, number, since=None):
+    """Enqueues the tasks of a step, which have waited since then if given."""
     for index in range(job.spec.steps[number].count):
         key = records.TaskKey(job.spec.job, occurrence, number, index)
         task = job.tasks.get(key)
         if task is not None and task.status == state_lib.WAITING:
+            if since is not None:
+                task.waiting_since = since
             enqueue(leader, task)
 
 
@@ -264,7 +276,7 @@
         if key.step not in step.after:
             continue
         if _is_ready(job, key.occurrence, step):
-            _enqueue_step(leader, job, key.occurrence, number)
+            _enqueue_step(leader, job, key.occurrence, number, state.now)
     if _is_complete(job):
         _end_job(state, effects, job, records.DONE, "all tasks done")
 
--- a/packages/core/src/skylarklug/scheduler/lifecycle.py
+++ b/packages/core/src/skylarklug/scheduler/lifecycle.py
@@ -9,6 +9,7 @@
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import leadership
+from skylarklug.scheduler import rejection
 
 # The load balancer stops sending new connections after two failed health
 # checks, which are a second apart. Open requests can then finish.
@@ -17,11 +18,6 @@
 EXIT_MARGIN_MS = 700
 
 
-# A node is not ready once the store has not served it for this time. Feeds get
-# an answer more often than that, so a single lost answer does not count.
-STORE_LOST_MS = 1_000
-
-
 def _on_configuration(state, event, effects):
     current = state.configuration
     if current is not None and event.cfg.version <= current.version:
@@ -36,15 +32,12 @@
 
 
 def _update_ready(state, effects):
-    store_lost = (
-        state.store_lost_at and state.now - state.store_lost_at > STORE_LOST_MS
-    )
     reason = "configured"
     if state.configuration is None:
         reason = "no configuration"
     elif state.stopping_at:
         reason = "stopping"
-    elif store_lost:
+    elif rejection.is_store_lost(state.store_lost_at, state.now):
         reason = "the store does not serve this node"
     ready = reason == "configured"
     if ready == state.ready:
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -87,6 +87,7 @@
         "worker": worker.name,
         "epoch": leader.epoch,
         "waited_ms": state.now - task.waiting_since,
+        "waited_for": task.wait_reason or "nothing",
         "resumed": bool(task.checkpoint),
         "free_cpu": worker.entry.capacity.cpu - worker.used[0],
         "view_ms": state.now - worker.answered_at,
@@ -227,6 +228,7 @@
         return
     task.status = state_lib.WAITING
     task.waiting_since = state.now
+    task.wait_reason = ""
     task.not_before = max(task.not_before, state.now + delay_ms)
     jobs.enqueue(leader, task)
 
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -16,16 +16,20 @@
 from skylarklug.scheduler import interference
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
+from skylarklug.scheduler import order
 from skylarklug.scheduler import orders
 from skylarklug.scheduler import preemption
 from skylarklug.scheduler import records
 from skylarklug.scheduler import state as state_lib
+from skylarklug.scheduler import waiting
 
 # Minimum time between two passes, so that a burst of events shares one.
 PASS_INTERVAL_MS = 20
 # Time after which a kind of task that fitted nowhere looks at all workers
 # again. Back-offs, quarantines and predicted loads change without an event.
 FULL_SEARCH_MS = 250
+# Interval at which waiting tasks are counted by reason.
+MEASURE_INTERVAL_MS = 1_000
 # Average share of its reserved CPU that a task uses. The rest is offered to
 # best-effort tasks, which reserve none.
 RESERVED_CPU_UTILIZATION = 0.55
@@ -173,7 +177,7 @@
 
 
 def _is_expired(state, task):
-    return jobs.lateness(state, task.job) == jobs.EXPIRED
+    return jobs.lateness(state, task.job) == order.EXPIRED
 
 
 def _short_reserve(leader):
@@ -297,7 +301,7 @@
         heapq.heapify(self._heap)
 
     def pop_best(self, state, task):
-        """Returns the best worker, or None; `push` returns it."""
+        """Returns the best worker, which stays a candidate, or None."""
         while self._heap:
             _, number = self._heap[0]
             worker = self._candidates[number]
@@ -325,10 +329,10 @@
 
 def _group_sort_key(state, group):
     task = next(iter(group.values()))
-    job = task.job
-    priority = jobs.priority_of(state, job)
-    late = 0 if task.step.runs_until_cancelled else jobs.lateness(state, job)
-    return (priority, late, job.deadline, task.key)
+    urgency = jobs.urgency_of(
+        state, task.job, not task.step.runs_until_cancelled
+    )
+    return (*order.sort_key(urgency, state.wall_ms), task.key)
 
 
 class FailedSearch(NamedTuple):
@@ -356,10 +360,10 @@
         if not orders.may_start_more(leader):
             break
         task = next(iter(group.values()))
-        if (
-            not task.job.start_recorded
-            or task.job.state in records.FINAL_STATES
-        ):
+        if task.job.state in records.FINAL_STATES:
+            continue
+        if not task.job.start_recorded:
+            task.wait_reason = waiting.NOT_RECORDED
             continue
         if task.step.gang:
             _place_gang(state, effects, group)
@@ -428,8 +432,37 @@
 
 def _may_start(state, task):
     if task.not_before > state.now:
+        task.wait_reason = waiting.DELAYED
         return False
-    return task.held_until <= state.now
+    if task.held_until > state.now:
+        task.wait_reason = waiting.NOT_SETTLED
+        return False
+    return True
+
+
+def _find_reason(state, task, candidates):
+    """Returns why a task that fits on none of the candidates waits."""
+    if not candidates:
+        if advice.is_needed(state, task.job):
+            return waiting.ADVICE
+        return waiting.NO_WORKER
+    limit = task.step.max_per_worker
+    fitting = []
+    for worker in candidates:
+        if limit and _count_tasks_of_step(worker, task) >= limit:
+            continue
+        if _fits(worker, task.step):
+            fitting.append(worker)
+    if not fitting:
+        return waiting.RESOURCES
+    for worker in fitting:
+        if worker.quarantined_until > state.now:
+            continue
+        if worker.name not in task.avoided_workers:
+            if task.step.best_effort:
+                return waiting.INTERFERENCE
+            return waiting.RESERVE
+    return waiting.QUARANTINE
 
 
 def _place_step(state, effects, group, since):
@@ -445,6 +478,7 @@
         if not _may_start(state, task):
             continue
         if not orders.may_start_more(leader):
+            task.wait_reason = waiting.ORDERS
             return True
         if candidates is None:
             candidates = _permitted_workers(state, effects, task)
@@ -455,6 +489,8 @@
             search = _Search(state, task, usable)
         worker = search.pop_best(state, task)
         if worker is None:
+            if not since:
+                task.wait_reason = _find_reason(state, task, candidates)
             if _is_short(task.step):
                 preemption.preempt_for(state, effects, task, candidates)
             return False
@@ -496,6 +532,7 @@
     leader = state.leader
     first = next(iter(group.values()))
     members = gangs.members(first)
+    first.wait_reason = waiting.GANG
     if len(group) < len(members):
         return
     for task in members:
@@ -561,13 +598,19 @@
     leader.placement_requested = False
     leader.placement_due_at = state.now + PASS_INTERVAL_MS
     place(state, effects)
-    effects.append(
-        fx.Measure(
-            "skylarklug.tasks.waiting",
-            sum(len(group) for group in leader.ready.values()),
-            {},
+    if state.now >= leader.waiting_measured_at + MEASURE_INTERVAL_MS:
+        _measure_waiting(state, effects)
+
+
+def _measure_waiting(state, effects):
+    leader = state.leader
+    leader.waiting_measured_at = state.now
+    counts = waiting.count_by_reason(leader.ready.values())
+    for reason, count in counts.items():
+        attributes = {"reason": reason}
+        effects.append(
+            fx.Measure("skylarklug.tasks.waiting", count, attributes)
         )
-    )
 
 
 HANDLERS = {
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -48,7 +48,11 @@
         excess_load: By how much its load exceeds the estimate.
         estimated_at: When its tail latency last updated the estimates.
         missed_polls: Consecutive polls that did not list the run.
-        waiting_since: When the task started to wait for its next start.
+        waiting_since: When the task started to wait for its next start. For
+            the first start, when its job was accepted or the last step that it
+            waits for was done.
+        wait_reason: Why it waits or waited, one of `waiting.ALL`; empty if it
+            has not waited.
     """
 
     __slots__ = (
@@ -77,6 +81,7 @@
         "status",
         "step",
         "ticket",
+        "wait_reason",
         "waiting_since",
         "worker",
     )
@@ -109,6 +114,7 @@
         self.estimated_at = 0
         self.missed_polls = 0
         self.waiting_since = 0
+        self.wait_reason = ""
 
 
 class Job:
@@ -329,6 +335,7 @@
         self.change_sequence = 1
         self.failed_searches: dict[Any, Any] = {}
         self.placement_due_at = 0
+        self.waiting_measured_at = 0
         self.short_task_demand = 0.0
         self.demand_updated_at = 0
         self.preemption_due_at = 0
@@ -379,6 +386,8 @@
         self.leadership_read_at = -1
         # Since when the store has not served this node; 0 while it does.
         self.store_lost_at = 0
+        # Latest known state by job, oldest first.
+        self.known_states: dict[str, str] = {}
         self.heartbeat: Any = {}
         self.heartbeat_version = 0
         self.claiming = False
