--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -200,6 +200,7 @@
             task.not_before = not_before
             task.held_until = held_until
             task.waiting_since = _accepted_at(state, job, due)
+            task.speed_wanted_since = task.waiting_since
             job.tasks[key] = task
     for number, step in enumerate(job.spec.steps):
         if _is_ready(job, occurrence, step):
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -228,6 +228,7 @@
         return
     task.status = state_lib.WAITING
     task.waiting_since = state.now
+    task.speed_wanted_since = state.now
     task.wait_reason = ""
     task.not_before = max(task.not_before, state.now + delay_ms)
     jobs.enqueue(leader, task)
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -167,7 +167,7 @@
     """Returns whether a job waits with no running task while CPU is idle."""
     if state.leader.reserved_cpu_share >= LOW_UTILIZATION:
         return False
-    if state.now - task.waiting_since < STARVED_MS:
+    if state.now - task.speed_wanted_since < STARVED_MS:
         return False
     return not any(other.worker for other in task.job.tasks.values())
 
@@ -270,7 +270,7 @@
         interference.headroom(state, worker, task),
     )
     needed = MIN_INITIAL_SPEED
-    if state.now - task.waiting_since >= SPEED_WAIT_MS:
+    if state.now - task.speed_wanted_since >= SPEED_WAIT_MS:
         needed = MIN_SPEED_AFTER_WAIT
     if speed < needed and not _is_starved(state, task):
         return None
@@ -321,7 +321,7 @@
     return (
         frozenset(task.avoided_workers),
         waited_ms >= AVOID_MS,
-        waited_ms >= SPEED_WAIT_MS,
+        state.now - task.speed_wanted_since >= SPEED_WAIT_MS,
         waited_ms >= LONG_RUNNING_WAIT_MS,
         _is_starved(state, task),
     )
@@ -420,7 +420,7 @@
     service = jobs.service_of(state, task.job)
     if not step.best_effort:
         return (service, _is_expired(state, task))
-    waited = state.now - task.waiting_since >= SPEED_WAIT_MS
+    waited = state.now - task.speed_wanted_since >= SPEED_WAIT_MS
     return (service, step.image, waited, _is_starved(state, task))
 
 
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -51,6 +51,9 @@
         waiting_since: When the task started to wait for its next start. For
             the first start, when its job was accepted or the last step that it
             waits for was done.
+        speed_wanted_since: Since when a best-effort task has waited for a
+            worker that allows it its full speed: since its job was accepted or
+            its latest run ended. A later step does not wait anew.
         wait_reason: Why it waits or waited, one of `waiting.ALL`; empty if it
             has not waited.
     """
@@ -81,6 +84,7 @@
         "status",
         "step",
         "ticket",
+        "speed_wanted_since",
         "wait_reason",
         "waiting_since",
         "worker",
@@ -115,6 +119,7 @@
         self.missed_polls = 0
         self.waiting_since = 0
         self.wait_reason = ""
+        self.speed_wanted_since = 0
 
 
 class Job:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -228,6 +228,36 @@
         with_client(read)
 
 
+class TestSlowLink:
+    def test_limit_covers_the_largest_response(self):
+        """Guards against a configuration of 1,400 routes that a VM with a slow
+        link never reads, because each request times out during the transfer."""
+
+        async def read(http, log):
+            timeouts = []
+
+            async def record(address, method, target, body, timeout_ms):
+                timeouts.append(timeout_ms)
+                raise exceptions.Unavailable("no store", step="", peer="")
+
+            http.call = record
+            for mbps in (1_000.0, 5.0):
+                client_of_store = store.StoreClient("a:1", http, log, mbps)
+                with pytest.raises(exceptions.Unavailable):
+                    await client_of_store.scan("operator")
+                with pytest.raises(exceptions.Unavailable):
+                    await client_of_store.changes("operator", 1, 2_000)
+            return timeouts
+
+        fast_scan, fast_feed, slow_scan, slow_feed = with_client(read)
+        page_ms = 8 * 1_048_576 / 5_000
+        configuration_ms = 8 * 262_144 * 4 / 3 / 5_000
+        assert slow_scan > page_ms
+        assert slow_feed > 2_000 + configuration_ms
+        assert fast_scan < 1_050
+        assert fast_feed < 2_750
+
+
 class TestWorkerCalls:
     def start_effect(self, worker, name="w1", until=VALID_UNTIL):
         return fx.StartRun(
