Slow the best-effort tasks of late jobs first

Cause: of the tasks that add about the same load to a serving task, the first one on the worker was slowed down, also when its job was on time and another one's job could not earn anything any more.

Change: tasks that add at least half of the most load per CPU are slowed down in the order of their jobs' lateness.

The new test fails without the change.

--- a/packages/core/src/skylarklug/scheduler/interference.py
+++ b/packages/core/src/skylarklug/scheduler/interference.py
@@ -7,6 +7,7 @@
 """
 
 from skylarklug.scheduler import interference_model
+from skylarklug.scheduler import jobs
 from skylarklug.scheduler import orders
 from skylarklug.scheduler import state as state_lib
 
@@ -36,6 +37,9 @@
 MAX_SLOW_MS = 500
 # Share of full speed that the other worker must allow.
 MIN_PACE_AFTER_MOVE = 0.95
+# Tasks that add at least this share of the most load per CPU are slowed down in
+# the order of their jobs' lateness.
+COMPARABLE_SHARE = 0.5
 # Time at one pace after which the reported CPU usage of a run reflects it.
 STEADY_PACE_MS = 700
 # Below this pace, in percent, the CPU usage does not predict the usage at full
@@ -252,13 +256,7 @@
         excess, serving, remaining, added_loads = most_violated
         # Slowing the task that adds the most load per CPU costs the least
         # throughput.
-        slowed = max(
-            (task for task in best_effort_tasks if paces[task.key] > 0),
-            key=lambda task: (
-                added_loads[task.key] / max(1, task.full_speed_cpu)
-            ),
-            default=None,
-        )
+        slowed = _choose_slowed(state, best_effort_tasks, paces, added_loads)
         if slowed is None:
             break
         reduction = excess / max(1e-6, added_loads[slowed.key])
@@ -267,6 +265,29 @@
     return {key: int(pace * 100) for key, pace in paces.items()}, limited_by
 
 
+def _choose_slowed(state, best_effort_tasks, paces, added_loads):
+    """Returns the task to slow down for a constraint, or None."""
+    rates = {}
+    for task in best_effort_tasks:
+        if paces[task.key] > 0:
+            load = added_loads[task.key]
+            rates[task.key] = load / max(1, task.full_speed_cpu)
+    if not rates:
+        return None
+    limit = COMPARABLE_SHARE * max(rates.values())
+    best = None
+    chosen = None
+    for task in best_effort_tasks:
+        rate = rates.get(task.key)
+        if rate is None or rate < limit:
+            continue
+        score = (jobs.lateness(state, task.job), rate)
+        if best is None or score > best:
+            best = score
+            chosen = task
+    return chosen
+
+
 def _most_violated(constraints, paces):
     """Returns the most violated constraint after its excess, or None."""
     most_violated = None
--- a/tests/scheduler/test_interference.py
+++ b/tests/scheduler/test_interference.py
@@ -5,6 +5,7 @@
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import interference
 from skylarklug.scheduler import interference_model
+from skylarklug.scheduler import records
 
 # Longest time for which the platform lets a task stay over its target without
 # interruption.
@@ -237,6 +238,37 @@
                 paces.append(effect.pace)
         assert paces == [0]
 
+    def test_late_job_is_slowed_before_a_job_on_time(self, deployment):
+        """Guards against a job that earns nothing any more and holds the load
+        that a job still on time needs."""
+        sim = deployment(workers=1)
+        sim.measurement_of = LatencyModel({"crunch": 1.2}, constant_load)
+        for worker in sim.workers.values():
+            worker.run_ms = 60_000
+        self.submit_serving(sim, 1, cpu=4_000)
+        sim.run(3_000)
+        keys = {}
+        for number, estimate_ms in ((2, 60_000), (3, 100)):
+            step = fakes.step(
+                1,
+                cpu=2_500,
+                image="crunch",
+                best_effort=True,
+                checkpoints=True,
+                estimate_ms=estimate_ms,
+            )
+            sim.submit(number, step)
+            sim.run(6_000)
+            keys[number] = records.TaskKey(fakes.job_id(number), 0, 0, 0)
+        paces = {2: [], 3: []}
+        for _ in range(40):
+            sim.run(250)
+            worker = next(iter(sim.workers.values()))
+            for number, key in keys.items():
+                paces[number].append(worker.paces.get(key, 100))
+        assert min(paces[3]) < 50
+        assert sum(paces[2]) > 1.5 * sum(paces[3])
+
     def test_tasks_of_one_serving_job_share_a_worker(self, deployment):
         """Guards against serving jobs that share a worker but peak at
         different times, which leaves less CPU to best-effort tasks."""
