Place tasks of silent workers at once after their lease, retry later

After the lease had ended it waited for two seconds as if it had just arrived, because of the reserve for short tasks.

Change: a task whose lease has ended has waited since its worker was last heard of. Retry-After grows after 1.5 s of an outage and is a second longer for queues of lower priority, so that four retries last for more than six seconds.

The new test fails without the change.

--- a/packages/core/src/skylarklug/scheduler/rejection.py
+++ b/packages/core/src/skylarklug/scheduler/rejection.py
@@ -6,8 +6,10 @@
 runs. So requests that need the store are rejected at once while it is known not
 to serve this node; nothing has run then.
 
-Load pattern: an outage ends and all clients return at once. Urgent ones return
-a second before the others.
+Load pattern: the store is away for everyone for some seconds, and clients use
+up their few retries before it returns. So they return later the longer it
+lasts, and those of less urgent queues a second after the others, which also
+spreads their return over two seconds.
 """
 
 # The store is known not to serve this node after this time without an answer.
@@ -15,9 +17,8 @@
 STORE_LOST_MS = 1_000
 # Retry-After of a rejection, while another node may serve the client.
 RETRY_AFTER_S = 1
-# An outage that lasts for this time concerns more than this node: the balancer
-# would have moved clients to other nodes otherwise.
-LONG_OUTAGE_MS = 3_000
+# After this time an outage probably concerns more than this node.
+LONG_OUTAGE_MS = 1_500
 # Addition to Retry-After during such an outage, so that the few retries of a
 # client outlast it.
 LONG_OUTAGE_RETRY_S = 1
@@ -45,8 +46,10 @@
         priority: Priority of the client's queue; 0 is the highest.
     """
     delay_s = RETRY_AFTER_S
-    if store_lost_at and now - store_lost_at > LONG_OUTAGE_MS:
+    if not store_lost_at:
+        return delay_s
+    if now - store_lost_at > LONG_OUTAGE_MS:
         delay_s += LONG_OUTAGE_RETRY_S
-        if priority > 0:
-            delay_s += LATER_RETURN_S
+    if priority > 0:
+        delay_s += LATER_RETURN_S
     return delay_s
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -122,6 +122,9 @@
     }
     effects.append(fx.Log("warning", "run-lost", fields))
     orders.requeue(state, effects, task, worker)
+    if reason == "lease ended":
+        # It has not run for about as long as its worker has been silent.
+        task.waiting_since = min(task.waiting_since, worker.answered_at)
     gangs.stop_other_members(state, effects, task, "a member was lost")
 
 
--- a/tests/scheduler/test_faults.py
+++ b/tests/scheduler/test_faults.py
@@ -211,6 +211,29 @@
         assert len(sim.starts) == 3
         assert not sim.find_problems()
 
+    def test_task_of_silent_worker_does_not_wait_for_the_reserve(
+        self, deployment
+    ):
+        """Guards against a long-running task that, after its lease has ended,
+        waits as if it had just arrived (LOST on inyenyeri-panel, hunt of
+        leaders-and-lost-answers, seed 449235810405)."""
+        sim = deployment()
+        step = fakes.step(4, cpu=13_000, runs_until_cancelled=True)
+        sim.submit(1, step._replace(count=1))
+        sim.run(1_000)
+        ((_, first_worker),) = sim.running(1)
+        for node in sim.nodes:
+            sim.cut_links.add((node, first_worker))
+        leader = sim.leader().state.leader
+        while not sim.log_of("run-lost") and sim.now < 20_000:
+            # Short tasks have asked for a fifth of all CPU until now.
+            leader.short_task_demand = 0.2
+            leader.demand_updated_at = sim.now
+            sim.run(5)
+        sim.run(300)
+        assert len(sim.running(1)) == 1
+        assert not sim.find_problems()
+
     def test_tasks_of_slow_worker_keep_running(self, deployment):
         """Guards against leases that end, and tasks that start elsewhere,
         because a worker answers slowly but in time for its leases."""
