Keep a connection whose response arrived as its timer became due

Cause: when the event loop is late, the timer of an exchange runs after its response has been read but before the caller resumes, and aborted the connection, so a busy leader opened new ones. Change: the timer does nothing once the response is complete. Result: the test of a busy process now blocks the loop right after the reply and counts connections; it fails on the code before. Also a test of rows of an earlier build.

--- a/packages/node/src/skylarklugd/client.py
+++ b/packages/node/src/skylarklugd/client.py
@@ -70,6 +70,11 @@
         self._transport.write(data)
         return self._response
 
+    def expire(self, reason: str):
+        """Fails the exchange in progress unless its response has arrived."""
+        if self._response is not None:
+            self.fail(reason)
+
     def fail(self, reason: str):
         """Closes the connection and fails the exchange in progress."""
         if self._transport is not None:
@@ -210,7 +215,7 @@
             )
         reason = f"no whole response in {timeout_ms} ms"
         response = conn.send(request)
-        timer = loop.call_at(expires_at, conn.fail, reason)
+        timer = loop.call_at(expires_at, conn.expire, reason)
         try:
             return await response
         except ConnectionError as exc:
--- a/tests/node/test_client.py
+++ b/tests/node/test_client.py
@@ -14,6 +14,7 @@
 
     def __init__(self, replies):
         self.replies = list(replies)
+        self.block_s = 0
         self.connections = 0
         self.requests = []
 
@@ -36,6 +37,8 @@
                 if reply is None:
                     break
                 writer.write(reply)
+                # Blocks the event loop, which the client shares.
+                time.sleep(self.block_s)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
@@ -72,17 +75,18 @@
         assert exchange([], scenario) == 1
 
     def test_response_that_arrived_while_the_process_was_busy_counts(self):
-        """Guards against a time-out that is due to this process alone."""
+        """Guards against a time-out, and a new connection after it, that are
+        due to this process alone."""
 
         async def scenario(http, peer):
             await get(http, peer)
-            call = asyncio.ensure_future(get(http, peer, 200))
-            while len(peer.requests) < 2:
-                await asyncio.sleep(0.005)
-            time.sleep(0.3)
-            return (await call).status
+            peer.block_s = 0.3
+            assert (await get(http, peer, 200)).status == 200
+            peer.block_s = 0
+            await get(http, peer)
+            return peer.connections
 
-        assert exchange([], scenario) == 200
+        assert exchange([], scenario) == 1
 
     @pytest.mark.parametrize(
         "reply",
--- a/tests/scheduler/test_leadership.py
+++ b/tests/scheduler/test_leadership.py
@@ -86,6 +86,30 @@
         assert sim.leader() is leader
 
 
+class TestRowsOfEarlierBuilds:
+    def test_leader_of_an_earlier_build_is_succeeded(self):
+        """Guards against a fleet without a leader during an update: earlier
+        builds write no capacity, and no candidate asks them."""
+        sim = fakes.Sim(nodes=0)
+        owner = {"node": "old", "incarnation": 1, "epoch": 3}
+        row = events.Row(
+            leadership.TABLE,
+            leadership.OWNER,
+            1,
+            {**owner, "released": False},
+        )
+        sim.store.version = 1
+        sim.store.rows[leadership.TABLE, leadership.OWNER] = row
+        sim.add_node("small", SMALL)
+        sim.add_node("large", LARGE)
+        sim.run(2_000)
+        assert sim.leader() is None
+        assert not sim.store.commits
+        sim.run(2_000)
+        assert sim.leader().name == "large"
+        assert sim.leader().state.leader.epoch == 4
+
+
 class TestMachineOrders:
     def test_leaders_do_not_take_turns_at_the_machine_api(self, deployment):
         """Guards against maintenance orders of two leaders within the time
