Give tasks of a kind that fitted nowhere the reason of that search

Cause: a task whose search was skipped, because a smaller one of its kind had just fitted nowhere, was counted as waiting for orders in flight. Change: the failed search keeps its reason.

--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -79,11 +79,13 @@
         need: Resources of the task that did not fit.
         sequence: `LeaderState.change_sequence` at the search.
         full_search_at: When all workers were last searched.
+        reason: Why that task waits, one of `waiting.ALL`.
     """
 
     need: records.Resources
     sequence: int
     full_search_at: int
+    reason: str
 
 
 def place(state, effects):
@@ -119,14 +121,18 @@
         task.step.resources, failure.need
     ):
         since = failure.sequence
+        task.wait_reason = failure.reason
         if since == leader.change_sequence:
             return
     placed = _place_step(state, effects, group, since)
     if placed or kind is None:
         return
-    started_at = state.now if not since else failure.full_search_at
+    searched_at = failure.full_search_at if since else state.now
     leader.failed_searches[kind] = FailedSearch(
-        task.step.resources, leader.change_sequence, started_at
+        task.step.resources,
+        leader.change_sequence,
+        searched_at,
+        task.wait_reason,
     )
 
 
