Report the former leader's queue until the jobs are processed

When the table of jobs arrives before that of their progress, all tables count as read, but the jobs are processed only at the next tick, after the heartbeat of that tick. Ruled out: a node with an old feed; the leader had taken over 0.1 s before.

Change: the count of the former leader is passed on until then.

Result: the new test fails without the change.

--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -379,7 +379,7 @@
             check_conflict(state, effects, answer)
 
     waiting = state.heartbeat.get("waiting", {})
-    if is_loaded(leader):
+    if is_loaded(leader) and not leader.job_rows:
         waiting = _count_waiting(leader)
     value = {"epoch": leader.epoch, "waiting": waiting}
     store.commit(
--- a/tests/scheduler/test_leadership.py
+++ b/tests/scheduler/test_leadership.py
@@ -86,6 +86,29 @@
         assert sim.leader() is leader
 
 
+class TestWaitingCount:
+    def test_new_leader_never_reports_an_empty_queue(self, deployment):
+        """Guards against "0 jobs wait" while jobs wait, in the first heartbeat
+        of a leader that has read the jobs but not processed them (MIXED 2 on
+        inyenyeri-panel, mix with seed 855698507817)."""
+        sim = deployment(workers=2)
+        for number in range(1, 7):
+            sim.submit(number, fakes.step(label="none"))
+        sim.run(2_000)
+        before = len(sim.store.commits)
+        for _ in range(2):
+            sim.kill(sim.leader().name)
+            sim.run(5_000)
+            assert sim.leader() is not None
+        counts = []
+        for _, _, effect in sim.store.commits[before:]:
+            for write in effect.writes:
+                if write.key == leadership.HEARTBEAT:
+                    counts.append(write.value["waiting"])
+        assert counts
+        assert all(count == {"batch": 6} for count in counts)
+
+
 class TestRowsOfEarlierBuilds:
     def test_leader_of_an_earlier_build_is_succeeded(self):
         """Guards against a fleet without a leader during an update: earlier
