--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -122,11 +122,12 @@
             {"table": "work", "key": "b", "ver": 2, "value": good},
             {"table": "work", "ver": 3, "value": good},
             None,
+            5,
         ]
         lines = []
         found = wire.decode_rows(rows, lambda *line: lines.append(line))
         assert [row.key for row in found] == ["b"]
-        assert len(lines) == 3
+        assert len(lines) == 4
 
 
 class TestJobs:
