--- a/packages/core/src/skylarklug/scheduler/intake.py
+++ b/packages/core/src/skylarklug/scheduler/intake.py
@@ -235,8 +235,9 @@
     if not answer.rows:
         _answer(state, effects, req, 410)
         return
-    if answer.rows[0].value["state"] in records.FINAL_STATES:
-        _remember_state(state, job, answer.rows[0].value["state"])
+    job_state = answer.rows[0].value["state"]
+    if job_state in records.FINAL_STATES:
+        _remember_state(state, job, job_state)
         _answer(state, effects, req, 200)
         return
     cancel_row = fx.Write("jobs", job + CANCEL_SUFFIX, {"at": state.wall_ms})
--- a/packages/core/src/skylarklug/scheduler/interference.py
+++ b/packages/core/src/skylarklug/scheduler/interference.py
@@ -254,8 +254,6 @@
         if most_violated is None:
             break
         excess, serving, remaining, added_loads = most_violated
-        # Slowing the task that adds the most load per CPU costs the least
-        # throughput.
         slowed = _choose_slowed(state, best_effort_tasks, paces, added_loads)
         if slowed is None:
             break
@@ -266,7 +264,11 @@
 
 
 def _choose_slowed(state, best_effort_tasks, paces, added_loads):
-    """Returns the task to slow down for a constraint, or None."""
+    """Returns the task to slow down for a constraint, or None.
+
+    Slowing the task that adds the most load per CPU costs the least throughput;
+    of those that add about as much, the one whose job is latest.
+    """
     rates = {}
     for task in best_effort_tasks:
         if paces[task.key] > 0:
@@ -275,17 +277,14 @@
     if not rates:
         return None
     limit = COMPARABLE_SHARE * max(rates.values())
-    best = None
-    chosen = None
+    comparable = []
     for task in best_effort_tasks:
-        rate = rates.get(task.key)
-        if rate is None or rate < limit:
-            continue
-        score = (jobs.lateness(state, task.job), rate)
-        if best is None or score > best:
-            best = score
-            chosen = task
-    return chosen
+        if rates.get(task.key, -1.0) >= limit:
+            comparable.append(task)
+    return max(
+        comparable,
+        key=lambda task: (jobs.lateness(state, task.job), rates[task.key]),
+    )
 
 
 def _most_violated(constraints, paces):
--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -124,14 +124,14 @@
     effects.append(fx.Log("warning", "leadership-lost", fields))
 
 
-def largest_capacity(state):
+def _largest_capacity(state):
     """Returns the capacity of the largest VM known to have led, in cores."""
     return (state.owner or {}).get("largest", 0.0)
 
 
-def is_small(state):
+def _is_small(state):
     """Returns whether a much larger VM has led, or asked to lead."""
-    largest = largest_capacity(state) or DEFAULT_LEADER_CAPACITY
+    largest = _largest_capacity(state) or DEFAULT_LEADER_CAPACITY
     return MUCH_LARGER * state.cfg.capacity <= largest
 
 
@@ -142,7 +142,7 @@
         "epoch": epoch,
         "released": released,
         "capacity": state.cfg.capacity,
-        "largest": max(state.cfg.capacity, largest_capacity(state)),
+        "largest": max(state.cfg.capacity, _largest_capacity(state)),
     }
     if successor:
         value["successor"] = successor
@@ -211,7 +211,7 @@
         return 0
     if successor:
         delay_ms += SUCCESSOR_HEAD_START_MS
-    if is_small(state):
+    if _is_small(state):
         delay_ms += SMALL_VM_DELAY_MS
     return delay_ms
 
@@ -241,15 +241,12 @@
     if _must_release_first(state):
         _release_former(state, effects)
         return
-    state.claiming = True
     epoch = (state.owner or {}).get("epoch", 0) + 1
     value = _owner_value(state, epoch, released=False)
     former = state.owner
     planned = _is_free(state)
 
     def done(state, effects, answer):
-        state.claiming = False
-        state.claim_due_at = state.now + CLAIM_RETRY_MS
         if answer.status != "ok":
             fields = {"epoch": epoch, "status": answer.status}
             effects.append(fx.Log("info", "claim-failed", fields))
@@ -260,12 +257,25 @@
             state, effects, epoch, answer, value, planned, former is None
         )
 
+    _write_owner(state, effects, value, done)
+
+
+def _write_owner(state, effects, value, done):
+    """Replaces the `owner` row that this node has read last."""
+    state.claiming = True
+
+    def on_answer(state, effects, answer):
+        state.claiming = False
+        state.claim_due_at = state.now + CLAIM_RETRY_MS
+        if done is not None:
+            done(state, effects, answer)
+
     store.commit(
         state,
         effects,
         [fx.Check(TABLE, OWNER, state.owner_version)],
         [fx.Write(TABLE, OWNER, value)],
-        done,
+        on_answer,
     )
 
 
@@ -275,27 +285,15 @@
     Only this node knows at once that the former leader has ended.
     """
     owner = state.owner
-    if owner is None or owner.get("released") or not is_small(state):
+    if owner is None or owner.get("released") or not _is_small(state):
         return False
     return owner.get("node") == state.cfg.node
 
 
 def _release_former(state, effects):
     """Releases the leadership of a former process of this node."""
-    state.claiming = True
-
-    def done(state, effects, answer):
-        state.claiming = False
-        state.claim_due_at = state.now + CLAIM_RETRY_MS
-
     value = {**state.owner, "released": True}
-    store.commit(
-        state,
-        effects,
-        [fx.Check(TABLE, OWNER, state.owner_version)],
-        [fx.Write(TABLE, OWNER, value)],
-        done,
-    )
+    _write_owner(state, effects, value, None)
 
 
 def _start_leading(state, effects, epoch, answer, value, planned, first):
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -209,10 +209,11 @@
     _append_stop(state, effects, worker, report.key, report.attempt)
 
 
-def requeue(state, effects, task, worker, delay_ms=0):
+def requeue(state, effects, task, worker, delay_ms=0, since=None):
     """Frees the resources of a run that is gone and enqueues its task.
 
-    A task that has ended is removed instead.
+    The task has waited since `since`, or from now on. A task that has ended is
+    removed instead.
     """
     leader = state.leader
     free_resources(worker, task)
@@ -227,7 +228,7 @@
         jobs.remove_closed(state, job)
         return
     task.status = state_lib.WAITING
-    task.waiting_since = state.now
+    task.waiting_since = state.now if since is None else since
     task.speed_wanted_since = state.now
     task.wait_reason = ""
     task.not_before = max(task.not_before, state.now + delay_ms)
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -225,13 +225,12 @@
             return True
         if candidates is None:
             candidates = _permitted_workers(state, effects, task)
-        profile = scoring.search_profile(state, task)
-        if search is None or search.profile != profile:
+        if search is None or not search.serves(state, task):
             usable = _filter_by_rack(task, candidates)
             if since:
                 usable = [w for w in usable if w.change_sequence > since]
             search = scoring.Search(state, task, usable)
-        worker = search.pop_best(state, task)
+        worker = search.best_worker(state, task)
         if worker is None:
             if not since:
                 task.wait_reason = _find_reason(state, task, candidates)
--- a/packages/core/src/skylarklug/scheduler/scoring.py
+++ b/packages/core/src/skylarklug/scheduler/scoring.py
@@ -234,7 +234,7 @@
 def best_worker(state, task, candidates):
     """Returns the best of the candidates for a task, or None."""
     search = Search(state, task, candidates)
-    return search.pop_best(state, task)
+    return search.best_worker(state, task)
 
 
 class Search:
@@ -245,22 +245,26 @@
     """
 
     def __init__(self, state, task, candidates):
-        self.profile = search_profile(state, task)
-        self.reserve = _respects_reserve(state, task, candidates)
+        self._profile = _search_profile(state, task)
+        self._reserve = _respects_reserve(state, task, candidates)
         self._candidates = candidates
         self._heap = []
         for number, worker in enumerate(candidates):
-            score = _score(state, worker, task, self.reserve)
+            score = _score(state, worker, task, self._reserve)
             if score is not None:
                 self._heap.append((score, number))
         heapq.heapify(self._heap)
 
-    def pop_best(self, state, task):
+    def serves(self, state, task) -> bool:
+        """Returns whether the scores hold for another task of the step."""
+        return self._profile == _search_profile(state, task)
+
+    def best_worker(self, state, task):
         """Returns the best worker, which stays a candidate, or None."""
         while self._heap:
             _, number = self._heap[0]
             worker = self._candidates[number]
-            score = _score(state, worker, task, self.reserve)
+            score = _score(state, worker, task, self._reserve)
             if score is None:
                 heapq.heappop(self._heap)
             elif score == self._heap[0][0]:
@@ -270,7 +274,7 @@
         return None
 
 
-def search_profile(state, task):
+def _search_profile(state, task):
     """Returns what decides, besides its step, where a task may run."""
     waited_ms = state.now - task.waiting_since
     return (
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -111,7 +111,7 @@
     worker.poll_due_at = 0
 
 
-def _mark_run_lost(state, effects, worker, task, reason):
+def _mark_run_lost(state, effects, worker, task, reason, since=None):
     """Requeues a task whose run is gone without a report of its end."""
     fields = {
         "task": str(task.key),
@@ -121,10 +121,7 @@
         "checkpoint": bool(task.checkpoint),
     }
     effects.append(fx.Log("warning", "run-lost", fields))
-    orders.requeue(state, effects, task, worker)
-    if reason == "lease ended":
-        # It has not run for about as long as its worker has been silent.
-        task.waiting_since = min(task.waiting_since, worker.answered_at)
+    orders.requeue(state, effects, task, worker, since=since)
     gangs.stop_other_members(state, effects, task, "a member was lost")
 
 
@@ -335,7 +332,9 @@
         if leader.confirmed_at < lease_ends_at:
             continue
         for task in list(worker.runs.values()):
-            _mark_run_lost(state, effects, worker, task, "lease ended")
+            # It has not run for about as long as the worker has been silent.
+            since = worker.answered_at
+            _mark_run_lost(state, effects, worker, task, "lease ended", since)
         if not worker.listed and worker.name not in leader.former_workers:
             del leader.workers[worker.name]
     _save_roster(state, effects)
