Log how long a lost run is known to have run

Cause: run-lost lines say that a run is gone, but not whether its worker was lost soon after it had started the run. Change: survived_ms in run-lost, from the polls that listed the run; a counter of lost runs by reason. No decision changes.

--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -35,6 +35,7 @@
         ordered_at: When the latest start or stop was sent.
         order_count: How often the current start or stop was sent.
         confirmed_at: When the worker first confirmed the run.
+        listed_at: When the latest poll was sent that listed the run.
         percent: Progress, as reported by the worker.
         measurement: Tail latency in ms, or CPU in use.
         pace: Speed limit of the run, in percent of full speed.
@@ -70,6 +71,7 @@
         "held_until",
         "job",
         "key",
+        "listed_at",
         "estimated_at",
         "missed_polls",
         "not_before",
@@ -106,6 +108,7 @@
         self.ordered_at = 0
         self.order_count = 0
         self.confirmed_at = 0
+        self.listed_at = 0
         self.percent = 0
         self.measurement = 0.0
         self.pace = 100
@@ -121,6 +124,12 @@
         self.wait_reason = ""
         self.speed_wanted_since = 0
 
+    def survived_ms(self) -> int:
+        """Returns how long the current run is known to have run, in ms."""
+        if not self.confirmed_at:
+            return 0
+        return max(0, self.listed_at - self.confirmed_at)
+
 
 class Job:
     """A job that this node leads.
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -119,8 +119,10 @@
         "worker": worker.name,
         "reason": reason,
         "checkpoint": bool(task.checkpoint),
+        "survived_ms": task.survived_ms(),
     }
     effects.append(fx.Log("warning", "run-lost", fields))
+    effects.append(fx.Measure("skylarklug.runs.lost", 1, {"reason": reason}))
     orders.requeue(state, effects, task, worker, since=since)
     gangs.stop_other_members(state, effects, task, "a member was lost")
 
@@ -229,6 +231,7 @@
             continue
         listed.add(report.key)
         _update_run(state, task, report)
+        task.listed_at = event.sent_at
     for key, task in list(worker.runs.items()):
         if key in listed:
             task.missed_polls = 0
