Give up a task that crashes the workers that start it

Cause: a run that is lost with its worker counted as nothing, in memory or in the rows; only ends as failed had a limit. Tasks that were lost together were placed together again, so counting alone would have given up the wrong ones. Class of fault: a retry without a limit, whose only evidence is the silence that it causes. A leader also repeated an unconfirmed start, under its old attempt, to a worker that had restarted; such a run is now stopped and counted.

Change: a new module, crashes. A run that its worker is not known to have run for ten seconds gets a crash record in the job's row as soon as the worker fails two polls or is silent; a worker that answers in the same incarnation takes it back. A task with a record starts again only when the record is committed, so the count outlives the leader. After a crash within half a second of the start, the next run is a trial: on the worker with the fewest runs, at another address, with no other start there until the run has lasted. Two such crashes, or three within ten seconds, fail the job.

--- /dev/null
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -0,0 +1,188 @@
+"""Finds tasks that crash the workers that start them.
+
+Load pattern: a task crashes each worker that starts it, and with it all runs
+beside it, which then wait together for a new start. The workers come back, so
+nothing but the number of lost runs tells such a task from the others.
+
+A run that was lost soon after its start counts against its task. The next run
+of that task is a trial: nothing else starts on its worker until the run has
+outlasted the time in which it could have been the cause. A task whose runs keep
+crashing workers is given up.
+"""
+
+from skylarklug.scheduler import records
+
+# A run that a worker has reported for this long has passed its trial.
+TRIAL_MS = 500
+# A run that a worker has reported for this long is not the cause of a crash,
+# and proves that earlier crashes were not caused by its task.
+MAX_CRASH_AGE_MS = 10_000
+# A task is given up after this many crashes within `TRIAL_MS` of its start.
+MAX_TRIAL_CRASHES = 2
+# A task is given up after this many crashes within `MAX_CRASH_AGE_MS`.
+MAX_CRASHES = 3
+# Maximum share of the workers that have a trial at once.
+MAX_TRIAL_SHARE = 0.5
+
+
+def _count_prompt(task):
+    """Returns how many workers crashed about when they started the task."""
+    count = 0
+    for crash in task.crashes.values():
+        if crash.survived_ms < TRIAL_MS:
+            count += 1
+    return count
+
+
+def is_suspect(task) -> bool:
+    """Returns whether the next run of the task is a trial."""
+    return bool(task.crashes) and _count_prompt(task) > 0
+
+
+def is_exhausted(task) -> bool:
+    """Returns whether a task has crashed too many workers to start again."""
+    if len(task.crashes) >= MAX_CRASHES:
+        return True
+    return _count_prompt(task) >= MAX_TRIAL_CRASHES
+
+
+def describe(task) -> str:
+    """Returns which workers the task has crashed, for the log."""
+    names = sorted({crash.worker for crash in task.crashes.values()})
+    return f"task {task.key} crashed workers {', '.join(names)}"
+
+
+# ------------------------------------------------------------------- records
+
+
+def record_runs(leader, worker) -> list:
+    """Records a crash under each run that may have caused it.
+
+    Called as soon as a worker is silent, so that the next leader knows of it. A
+    worker that has only been silent takes the records back when it answers.
+
+    Returns:
+        The jobs whose rows must be saved.
+    """
+    if worker.entry.draining or worker.cordoned:
+        # It ends as planned.
+        return []
+    changed = []
+    for task in worker.runs.values():
+        survived = task.survived_ms()
+        if survived >= MAX_CRASH_AGE_MS or task.attempt in task.crashes:
+            continue
+        task.crashes[task.attempt] = records.Crash(
+            worker.name, worker.incarnation, worker.entry.address, survived
+        )
+        watch(leader, task)
+        changed.append(_changed_job(task))
+    return changed
+
+
+def watch(leader, task):
+    """Watches for answers of the workers that a task may have crashed."""
+    for crash in task.crashes.values():
+        tasks = leader.unproven_crashes.setdefault(crash.worker, {})
+        tasks[task.key] = task
+
+
+def take_back(leader, worker) -> list:
+    """Removes the crash records of a worker that answers.
+
+    Records of an earlier incarnation stay: that one has ended.
+
+    Returns:
+        The jobs whose rows must be saved.
+    """
+    changed = []
+    for task in leader.unproven_crashes.pop(worker.name, {}).values():
+        for attempt, crash in list(task.crashes.items()):
+            if crash.worker != worker.name:
+                continue
+            if crash.incarnation != worker.incarnation:
+                continue
+            del task.crashes[attempt]
+            changed.append(_changed_job(task))
+    return changed
+
+
+def forget(task) -> list:
+    """Removes the crash records of a task whose run has lasted.
+
+    Returns:
+        The jobs whose rows must be saved.
+    """
+    if not task.crashes or task.survived_ms() < MAX_CRASH_AGE_MS:
+        return []
+    task.crashes.clear()
+    return [_changed_job(task)]
+
+
+def _changed_job(task):
+    job = task.job
+    if task.crashes:
+        job.crashes[task.key] = task.crashes
+    else:
+        job.crashes.pop(task.key, None)
+    job.crashes_saved = False
+    return job
+
+
+# -------------------------------------------------------------------- trials
+
+
+def trial_risk(task, worker) -> tuple[bool, int]:
+    """Returns a sort key, lowest best, of the workers for a task's next run.
+
+    The runs on the worker are lost if it crashes. Two crashes at one address
+    may be the fault of what is there.
+    """
+    if not is_suspect(task):
+        return False, 0
+    repeated = False
+    for crash in task.crashes.values():
+        if crash.address == worker.entry.address:
+            repeated = True
+    return repeated, len(worker.runs)
+
+
+def update_trials(state):
+    """Updates which workers have a trial, and how many more may get one."""
+    leader = state.leader
+    leader.trial_workers = set()
+    for key, task in list(leader.trials.items()):
+        if not task.worker or task.survived_ms() >= TRIAL_MS:
+            del leader.trials[key]
+            continue
+        leader.trial_workers.add(task.worker)
+    usable = 0
+    on_trial = 0
+    for worker in leader.workers.values():
+        if not worker.listed or not worker.is_responsive(state.now):
+            continue
+        usable += 1
+        if worker.name in leader.trial_workers:
+            on_trial += 1
+    leader.free_trials = max(1, int(MAX_TRIAL_SHARE * usable)) - on_trial
+
+
+def may_start(leader, task) -> bool:
+    """Returns whether the task's earlier crashes allow a start now.
+
+    The next leader must know of the crashes first, and a trial needs a worker
+    that can be kept free of other starts.
+    """
+    if not task.crashes:
+        return True
+    if not task.job.crashes_saved:
+        return False
+    return not is_suspect(task) or leader.free_trials > 0
+
+
+def begin_trial(leader, task):
+    """Keeps the worker of a suspect free of other starts for a while."""
+    if is_suspect(task):
+        leader.trials[task.key] = task
+        leader.trial_workers.add(task.worker)
+        leader.free_trials -= 1
--- a/packages/core/src/skylarklug/scheduler/ends.py
+++ b/packages/core/src/skylarklug/scheduler/ends.py
@@ -96,7 +96,8 @@
     if is_current:
         _requeue(state, effects, worker, task, 0, "failed")
     if len(task.failures) >= jobs.max_attempts(state, job):
-        jobs.fail_job(state, effects, job, task)
+        reason = f"task {task.key} failed {len(task.failures)} times"
+        jobs.fail_job(state, effects, job, reason)
     return job.spec.job
 
 
--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -4,6 +4,7 @@
 
 from skylarklug import exceptions
 from skylarklug.scheduler import codec
+from skylarklug.scheduler import crashes
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import intake
@@ -142,11 +143,17 @@
         indices = codec.unpack_indices(bitmap)
         job.done[int(occurrence), int(step)] = indices
     for name, attempts in work.get("failed", {}).items():
-        occurrence, step, index = name.split(".")
-        key = records.TaskKey(
-            job.spec.job, int(occurrence), int(step), int(index)
-        )
-        job.failures[key] = set(attempts)
+        job.failures[_parse_key(job, name)] = set(attempts)
+    for name, rows in work.get("crashed", {}).items():
+        crashed = job.crashes.setdefault(_parse_key(job, name), {})
+        for attempt, *fields in rows:
+            crashed[attempt] = records.Crash(*fields)
+
+
+def _parse_key(job, name) -> records.TaskKey:
+    """Returns the key of a task that is named in a `work` row."""
+    occurrence, step, index = name.split(".")
+    return records.TaskKey(job.spec.job, int(occurrence), int(step), int(index))
 
 
 def critical_path_ms(steps) -> int:
@@ -197,6 +204,9 @@
             key = records.TaskKey(job.spec.job, occurrence, number, index)
             task = state_lib.Task(job, key, step)
             task.failures = job.failures.setdefault(key, set())
+            if key in job.crashes:
+                task.crashes = job.crashes[key]
+                crashes.watch(leader, task)
             task.not_before = not_before
             task.held_until = held_until
             task.waiting_since = _accepted_at(state, job, due)
@@ -287,6 +297,7 @@
     task.status = state_lib.FINISHED
     job.tasks.pop(task.key, None)
     job.failures.pop(task.key, None)
+    job.crashes.pop(task.key, None)
 
 
 def _is_complete(job):
@@ -296,9 +307,8 @@
     return not any(job.remaining.values())
 
 
-def fail_job(state, effects, job, task):
-    """Fails a job because a task has used up its attempts."""
-    reason = f"task {task.key} failed {len(task.failures)} times"
+def fail_job(state, effects, job, reason):
+    """Fails a job because one of its tasks cannot be done."""
     _end_job(state, effects, job, records.FAILED, reason)
 
 
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -1,5 +1,6 @@
 """Orders to workers (start, stop and pace) and their answers."""
 
+from skylarklug.scheduler import crashes
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import interference
@@ -81,6 +82,7 @@
     reserve_resources(worker, task)
     interference.record_run_change(state, worker, task)
     leader.unconfirmed[task.key] = task
+    crashes.begin_trial(leader, task)
     _send_start(state, effects, task, worker)
     fields = {
         "task": str(task.key),
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from skylarklug.scheduler import advice
+from skylarklug.scheduler import crashes
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import gangs
@@ -41,7 +42,7 @@
         entry = worker.entry
         if entry.service != service or entry.draining or not worker.listed:
             continue
-        if worker.cordoned:
+        if worker.cordoned or worker.name in leader.trial_workers:
             continue
         if worker.name not in leader.roster_saved:
             continue
@@ -92,6 +93,7 @@
     """Starts all tasks that fit, ordered by priority and deadline."""
     leader = state.leader
     scoring.update_utilization(state)
+    crashes.update_trials(state)
     groups = sorted(
         leader.ready.values(), key=lambda group: _group_sort_key(state, group)
     )
@@ -158,7 +160,9 @@
         or step.same_rack
     ):
         return None
-    if task.avoided_workers or advice.is_needed(state, task.job):
+    if task.avoided_workers or crashes.is_suspect(task):
+        return None
+    if advice.is_needed(state, task.job):
         return None
     service = jobs.service_of(state, task.job)
     if not step.best_effort:
@@ -180,6 +184,9 @@
     if task.held_until > state.now:
         task.wait_reason = waiting.NOT_SETTLED
         return False
+    if not crashes.may_start(state.leader, task):
+        task.wait_reason = waiting.TRIAL
+        return False
     return True
 
 
@@ -231,6 +238,10 @@
                 usable = [w for w in usable if w.change_sequence > since]
             search = scoring.Search(state, task, usable)
         worker = search.best_worker(state, task)
+        if worker is None and crashes.is_suspect(task):
+            task.wait_reason = _find_reason(state, task, candidates)
+            search = None
+            continue
         if worker is None:
             if not since:
                 task.wait_reason = _find_reason(state, task, candidates)
@@ -242,6 +253,10 @@
         _start(state, effects, task, worker, attempt)
         if task.step.same_rack:
             search = None
+        if crashes.is_suspect(task):
+            # Nothing else may start on that worker now.
+            candidates = None
+            search = None
     return True
 
 
--- a/packages/core/src/skylarklug/scheduler/progress.py
+++ b/packages/core/src/skylarklug/scheduler/progress.py
@@ -19,6 +19,11 @@
 GROUP_COMMIT_DELAY_MS = 20
 
 
+def _task_name(key):
+    """Returns the name of a task in the row of its job."""
+    return f"{key.occurrence}.{key.step}.{key.index}"
+
+
 def _work_value(job, epoch):
     done = {}
     for (occurrence, step), indices in job.done.items():
@@ -28,12 +33,19 @@
     failed = {}
     for key, attempts in job.failures.items():
         if attempts:
-            name = f"{key.occurrence}.{key.step}.{key.index}"
-            failed[name] = sorted(attempts)
+            failed[_task_name(key)] = sorted(attempts)
     value = {"state": job.state, "queue": job.spec.queue, "epoch": epoch}
     if job.state in records.FINAL_STATES:
         return value
-    return {**value, "done": done, "failed": failed}
+    value.update(done=done, failed=failed)
+    if job.crashes:
+        value["crashed"] = {
+            _task_name(key): [
+                [attempt, *crash] for attempt, crash in crashes.items()
+            ]
+            for key, crashes in job.crashes.items()
+        }
+    return value
 
 
 def _writes(job, epoch):
@@ -105,6 +117,9 @@
 
 def _on_job_saved(state, leader, job, job_state, version):
     job.version = version
+    if not job.crashes_saved and job.spec.job not in leader.dirty:
+        job.crashes_saved = True
+        leader.placement_requested = True
     if not job.start_recorded:
         job.start_recorded = True
         leader.placement_requested = True
--- a/packages/core/src/skylarklug/scheduler/records.py
+++ b/packages/core/src/skylarklug/scheduler/records.py
@@ -180,6 +180,22 @@
     checkpoint: str
 
 
+class Crash(NamedTuple):
+    """A crash of a worker soon after it had started a task.
+
+    Attributes:
+        worker: Name of the worker.
+        incarnation: The incarnation of the worker that has crashed.
+        address: Its "host:port"; another worker may come up there.
+        survived_ms: How long the run is known to have run before.
+    """
+
+    worker: str
+    incarnation: int
+    address: str
+    survived_ms: int
+
+
 class Wave(NamedTuple):
     """A wave of maintenance: each machine goes down once.
 
--- a/packages/core/src/skylarklug/scheduler/scoring.py
+++ b/packages/core/src/skylarklug/scheduler/scoring.py
@@ -9,6 +9,7 @@
 
 import heapq
 
+from skylarklug.scheduler import crashes
 from skylarklug.scheduler import interference
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import order
@@ -187,10 +188,9 @@
     )
     if unreliable and state.now - task.waiting_since < AVOID_MS:
         return None
+    prefix = (unreliable, crashes.trial_risk(task, worker), rack_mismatch)
     if step.best_effort:
-        return _score_best_effort(
-            state, worker, task, (unreliable, rack_mismatch)
-        )
+        return _score_best_effort(state, worker, task, prefix)
     capacity = worker.entry.capacity.cpu
     free = capacity - worker.used[0] - step.resources.cpu
     if step.runs_until_cancelled:
@@ -204,8 +204,7 @@
         other_images = interference.count_other_images(worker, step.image)
         other_jobs = _count_other_long_running_jobs(worker, task)
         return (
-            unreliable,
-            rack_mismatch,
+            *prefix,
             other_images,
             other_jobs,
             -same_step,
@@ -214,7 +213,7 @@
     if reserve and free < _short_reserve(state.leader) * capacity:
         return None
     # Best fit keeps large gaps free for the tasks that request the most CPU.
-    return (unreliable, rack_mismatch, free)
+    return (*prefix, free)
 
 
 def _score_best_effort(state, worker, task, prefix):
@@ -279,6 +278,7 @@
     waited_ms = state.now - task.waiting_since
     return (
         frozenset(task.avoided_workers),
+        crashes.is_suspect(task),
         waited_ms >= AVOID_MS,
         state.now - task.speed_wanted_since >= SPEED_WAIT_MS,
         waited_ms >= LONG_RUNNING_WAIT_MS,
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -25,6 +25,8 @@
         attempt: Number of the latest attempt.
         failures: Numbers of the attempts that failed; runs that were stopped
             or lost do not count.
+        crashes: Crashes of workers that runs of the task may have caused, by
+            attempt.
         ticket: Ticket that the latest start carried; empty for none.
         checkpoint: Latest checkpoint; empty for none.
         worker: Worker of the current run; empty for none.
@@ -65,6 +67,7 @@
         "excess_load",
         "checkpoint",
         "confirmed_at",
+        "crashes",
         "failures",
         "full_speed_cpu",
         "measurement",
@@ -99,6 +102,7 @@
         self.status = WAITING
         self.attempt = 0
         self.failures: set[int] = set()
+        self.crashes: dict[int, records.Crash] = {}
         self.ticket = ""
         self.checkpoint = ""
         self.worker = ""
@@ -146,6 +150,8 @@
         expanded: Occurrences whose tasks have been created.
         done: Indices of finished tasks by (occurrence, step).
         failures: Failed attempts of unfinished tasks, by task key.
+        crashes: Crashes of workers under unfinished tasks, by task key.
+        crashes_saved: Whether a committed row holds all of `crashes`.
         has_cancel_row: Whether a stored row requests its cancellation.
         deadline: Time after which it is late, in Unix milliseconds.
         tickets: Advice on allowed workers by (occurrence, step).
@@ -153,6 +159,8 @@
 
     __slots__ = (
         "start_recorded",
+        "crashes",
+        "crashes_saved",
         "deadline",
         "done",
         "failures",
@@ -181,6 +189,8 @@
         self.expanded: set[int] = set()
         self.done: dict[tuple[int, int], set[int]] = {}
         self.failures: dict[records.TaskKey, set[int]] = {}
+        self.crashes: dict[records.TaskKey, dict[int, records.Crash]] = {}
+        self.crashes_saved = True
         self.deadline = 0
         self.tickets: dict[tuple[int, int], Any] = {}
 
@@ -303,6 +313,11 @@
         due_occurrences: Heap of (due time, job, occurrence) to expand.
         unconfirmed: Tasks with a start that is not confirmed or a stop whose
             run has not ended; their orders are repeated.
+        unproven_crashes: Tasks with crash records, by the worker that may still
+            show that it has not crashed.
+        trials: Suspect tasks whose run keeps its worker free of other starts.
+        trial_workers: Workers of `trials` at the latest placement pass.
+        free_trials: How many more workers may get a trial in that pass.
         job_rows: Rows of `jobs` to process once `work` has been read.
         placement_requested: Whether something changed that may let a
             waiting task start.
@@ -344,6 +359,10 @@
         self.ready: dict[tuple, dict[records.TaskKey, Task]] = {}
         self.due_occurrences: list[tuple[int, str, int]] = []
         self.unconfirmed: dict[records.TaskKey, Task] = {}
+        self.unproven_crashes: dict[str, dict[records.TaskKey, Task]] = {}
+        self.trials: dict[records.TaskKey, Task] = {}
+        self.trial_workers: set[str] = set()
+        self.free_trials = 0
         self.job_rows: list[Any] = []
         self.placement_requested = False
         self.change_sequence = 1
--- a/packages/core/src/skylarklug/scheduler/waiting.py
+++ b/packages/core/src/skylarklug/scheduler/waiting.py
@@ -20,6 +20,9 @@
 INTERFERENCE = "interference"
 # What is free is kept for short tasks.
 RESERVE = "reserve"
+# It may have crashed a worker: that is not committed yet, or no other worker
+# may be kept free for it now.
+TRIAL = "trial"
 # It failed on the workers on which it fits, or they are in quarantine.
 QUARANTINE = "quarantine"
 
@@ -34,6 +37,7 @@
     RESOURCES,
     INTERFERENCE,
     RESERVE,
+    TRIAL,
     QUARANTINE,
 )
 
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -1,5 +1,6 @@
 """Tracks workers on their leader: registration, polls, leases and runs."""
 
+from skylarklug.scheduler import crashes
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import ends
 from skylarklug.scheduler import events
@@ -32,6 +33,8 @@
 # A run that is missing from this many polls in a row is lost: it has ended
 # without a report.
 POLLS_UNTIL_LOST = 2
+# A worker may have crashed after this many failed polls in a row.
+POLLS_UNTIL_SUSPECTED = 2
 # Interval at which workers that have left are removed from the roster. A new
 # leader waits for the answers of all workers in it.
 ROSTER_SHRINK_INTERVAL_MS = 1_000
@@ -102,6 +105,7 @@
     if worker.incarnation:
         _log_worker(state, effects, worker, "reborn")
         worker.restarted = True
+        _record_crash(state.leader, worker)
     worker.incarnation = incarnation
     worker.fenced = False
     worker.clock = (0, 0)
@@ -111,6 +115,21 @@
     worker.poll_due_at = 0
 
 
+def _may_have_crashed(state, worker):
+    """Returns whether a worker that still holds its leases seems to be gone.
+
+    Two polls fail within a second if its host refuses connections.
+    """
+    if not worker.is_responsive(state.now):
+        return worker.failed_polls > 0
+    return worker.failed_polls >= POLLS_UNTIL_SUSPECTED
+
+
+def _record_crash(leader, worker):
+    for job in crashes.record_runs(leader, worker):
+        jobs.mark_dirty(leader, job)
+
+
 def _mark_run_lost(state, effects, worker, task, reason, since=None):
     """Requeues a task whose run is gone without a report of its end."""
     fields = {
@@ -120,11 +139,14 @@
         "reason": reason,
         "checkpoint": bool(task.checkpoint),
         "survived_ms": task.survived_ms(),
+        "crashes": len(task.crashes),
     }
     effects.append(fx.Log("warning", "run-lost", fields))
     effects.append(fx.Measure("skylarklug.runs.lost", 1, {"reason": reason}))
     orders.requeue(state, effects, task, worker, since=since)
     gangs.stop_other_members(state, effects, task, "a member was lost")
+    if crashes.is_exhausted(task):
+        jobs.fail_job(state, effects, task.job, crashes.describe(task))
 
 
 # -------------------------------------------------------------------- polls
@@ -179,6 +201,8 @@
     worker.clock = (event.clock_ms, state.now)
     worker.answered_at = state.now
     worker.record_change(leader)
+    for job in crashes.take_back(leader, worker):
+        jobs.mark_dirty(leader, job)
     for report in event.ended:
         if report.number <= worker.last_end_number:
             continue
@@ -232,6 +256,8 @@
         listed.add(report.key)
         _update_run(state, task, report)
         task.listed_at = event.sent_at
+        for job in crashes.forget(task):
+            jobs.mark_dirty(state.leader, job)
     for key, task in list(worker.runs.items()):
         if key in listed:
             task.missed_polls = 0
@@ -280,6 +306,10 @@
 
 def _on_run_not_listed(state, effects, worker, task, sent_at):
     if task.status == state_lib.STARTING:
+        if worker.restarted:
+            # An order in flight may still reach the new incarnation, which
+            # rejects it after a stop.
+            orders.stop(state, effects, task, "worker restarted")
         return
     if worker.restarted:
         _mark_run_lost(state, effects, worker, task, "reborn")
@@ -327,6 +357,8 @@
     for worker in list(leader.workers.values()):
         if not worker.poll_pending and state.now >= worker.poll_due_at:
             _poll(state, effects, worker)
+        if _may_have_crashed(state, worker):
+            _record_crash(leader, worker)
         # Only a commit sent after the lease expired proves that no other
         # leader has renewed the lease in the meantime.
         lease_ends_at = (
@@ -340,6 +372,7 @@
             _mark_run_lost(state, effects, worker, task, "lease ended", since)
         if not worker.listed and worker.name not in leader.former_workers:
             del leader.workers[worker.name]
+            leader.unproven_crashes.pop(worker.name, None)
     _save_roster(state, effects)
     if not leader.settled:
         _end_settling(state, effects)
@@ -380,9 +413,16 @@
         return
     leader.settled = True
     leader.former_workers = {}
+    for name in leader.unproven_crashes.keys() - leader.workers.keys():
+        del leader.unproven_crashes[name]
+    exhausted = []
     for job in leader.jobs.values():
         for task in job.tasks.values():
             task.held_until = 0
+            if not task.worker and crashes.is_exhausted(task):
+                exhausted.append(task)
+    for task in exhausted:
+        jobs.fail_job(state, effects, task.job, crashes.describe(task))
     leader.placement_requested = True
     fields = {"epoch": leader.epoch, "unreached": unreached}
     effects.append(fx.Log("info", "settled", fields))
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -15,6 +15,10 @@
 # Interval at which watches without changes return.
 WATCH_POLL_MS = 1_000
 MAX_LEASE_MS = 6_000
+# A task that crashes its worker does so this long after its start.
+CRASH_DELAY_MS = 10
+# Time after which a worker that a task has crashed is back.
+CRASH_DOWN_MS = 3_000
 # Time that a run takes to stop.
 STOP_DURATION_MS = 200
 # Wall-clock time in ms at the virtual time 0.
@@ -230,6 +234,8 @@
         if effect.ticket:
             self.sim.tickets.append((self.name, effect.ticket))
         self.sim.starts.append((started, effect.key, effect.attempt, self.name))
+        if effect.key in self.sim.fatal_tasks:
+            self.sim.after(CRASH_DELAY_MS, lambda: self.sim.crash_worker(self))
         runs_until_cancelled = self.sim.runs_until_cancelled(effect.key)
         failing = effect.key.job in self.fail or "*" in self.fail
         if failing or not runs_until_cancelled:
@@ -311,6 +317,12 @@
         # Acknowledged ends with the outcome "done", as (key, attempt).
         self.acknowledged_done = set()
         self.specs = {}
+        # Tasks that crash each worker that starts them.
+        self.fatal_tasks = set()
+        # Whether a crashed worker is back under its name, or under a new one.
+        self.names_return = False
+        # Workers that are down, whose hosts refuse connections.
+        self.crashed_workers = set()
         self.problems = []
         self.workers = {}
         self.cut_links = set()
@@ -524,6 +536,22 @@
                     lambda at: events.WorkersChanged(at, True, entries, ()),
                 )
 
+    def crash_worker(self, worker):
+        """Takes a worker down; it is back after `CRASH_DOWN_MS`."""
+        if self.workers.pop(worker.name, None) is None:
+            return
+        worker.crash(worker.incarnation + 1)
+        self.crashed_workers.add(worker.name)
+        if not self.names_return:
+            worker.name = f"w{next(self.sequence)}"
+
+        def return_worker():
+            self.workers[worker.name] = worker
+            self.crashed_workers.discard(worker.name)
+            self.publish_workers()
+
+        self.after(CRASH_DOWN_MS, return_worker)
+
     def can_reach(self, node, worker):
         return (node.name, worker) not in self.cut_links
 
@@ -571,6 +599,9 @@
 
         def arrive():
             worker = self.workers.get(effect.worker)
+            if effect.worker in self.crashed_workers:
+                answer(LINK_DELAY_MS, "refused", "connection refused")
+                return
             if worker is None or not self.can_reach(node, effect.worker):
                 answer(effect.timeout_ms, "unknown", "silent")
                 return
