Lose the runs of a worker whose address another instance has

Callers waited seven seconds for each run beside a task that crashed its worker.

Cause: the leader waited for the lease of the crashed worker, although its successor answered at the same address, as "another instance has this address", three seconds after the crash. Two processes cannot have one address, so the worker has ended and nothing runs there any more. Change: a poll that another instance answers ends all runs of the worker, if it was sent to the address that the worker last listed. An entry of an earlier incarnation, as a late read of the store may return it, no longer replaces the newer one: polls to the former address would have ended living runs. Both new tests fail without the change.

--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -148,7 +148,8 @@
 
     `op` is "look" for a poll, "start", "stop" or "pace". `result` is "ok",
     "refused" (nothing was done), "rejected" with a reason, "reborn" (another
-    instance answered at this address) or "unknown".
+    instance answered at this address) or "unknown". `address` is where a poll
+    was sent; empty for an order.
     """
 
     at: int
@@ -159,6 +160,7 @@
     attempt: int
     result: str
     reason: str
+    address: str = ""
 
 
 class AdviceAnswered(NamedTuple):
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -70,6 +70,9 @@
         worker = state_lib.Worker(entry)
         leader.workers[entry.worker] = worker
         _log_worker(state, effects, worker, "listed")
+    if 0 < entry.incarnation < worker.incarnation:
+        # A late read of the entry of an earlier incarnation.
+        return
     if entry.draining and not worker.entry.draining:
         _log_worker(state, effects, worker, "draining")
     worker.entry = entry
@@ -339,6 +342,20 @@
     effects.append(fx.Log("warning", "look-failed", fields))
     if event.reason == "fence":
         orders.suspend_orders(state, effects, worker.name)
+    if event.result == "reborn" and event.address == worker.entry.address:
+        _on_address_reused(state, effects, worker)
+
+
+def _on_address_reused(state, effects, worker):
+    """Handles a worker whose address another instance has.
+
+    Its process has ended, and no order to it can be executed any more.
+    """
+    worker.fenced = False
+    _record_crash(state.leader, worker)
+    for task in list(worker.runs.values()):
+        since = worker.answered_at
+        _mark_run_lost(state, effects, worker, task, "address reused", since)
 
 
 # --------------------------------------------------------------------- tick
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -312,6 +312,7 @@
                 0,
                 result,
                 reason,
+                effect.address,
             )
         )
 
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -323,6 +323,8 @@
         self.names_return = False
         # Workers that are down, whose hosts refuse connections.
         self.crashed_workers = set()
+        # Workers whose address another worker has.
+        self.replaced_workers = set()
         self.problems = []
         self.workers = {}
         self.cut_links = set()
@@ -541,13 +543,16 @@
         if self.workers.pop(worker.name, None) is None:
             return
         worker.crash(worker.incarnation + 1)
-        self.crashed_workers.add(worker.name)
+        former_name = worker.name
+        self.crashed_workers.add(former_name)
         if not self.names_return:
             worker.name = f"w{next(self.sequence)}"
 
         def return_worker():
             self.workers[worker.name] = worker
-            self.crashed_workers.discard(worker.name)
+            self.crashed_workers.discard(former_name)
+            if worker.name != former_name:
+                self.replaced_workers.add(former_name)
             self.publish_workers()
 
         self.after(CRASH_DOWN_MS, return_worker)
@@ -594,6 +599,7 @@
                     attempt,
                     result,
                     reason,
+                    effect.address,
                 ),
             )
 
@@ -602,6 +608,9 @@
             if effect.worker in self.crashed_workers:
                 answer(LINK_DELAY_MS, "refused", "connection refused")
                 return
+            if effect.worker in self.replaced_workers:
+                answer(LINK_DELAY_MS, "reborn", "another instance")
+                return
             if worker is None or not self.can_reach(node, effect.worker):
                 answer(effect.timeout_ms, "unknown", "silent")
                 return
--- a/tests/scheduler/test_faults.py
+++ b/tests/scheduler/test_faults.py
@@ -3,6 +3,8 @@
 import pytest
 import scheduler_fakes as fakes
 
+from skylarklug.scheduler import events
+
 
 class TestLostAnswers:
     def test_start_is_repeated_with_its_attempt(self, deployment):
@@ -78,8 +80,6 @@
     def test_graceful_stop_hands_over_at_once(self, deployment):
         """Guards against seconds without a leader after a graceful stop."""
         sim = deployment()
-        from skylarklug.scheduler import events
-
         old_leader = sim.leader()
         sim.dispatch(old_leader, events.StopRequested(sim.now))
         sim.run(300)
@@ -259,6 +259,33 @@
         assert len(sim.running(1)) == 2
         assert not sim.find_problems()
 
+    def test_replaced_worker_loses_its_runs_at_once(self, deployment):
+        """Guards against waiting for the lease of a worker whose address
+        another worker has already."""
+        sim = deployment()
+        sim.submit(1, fakes.step(2, runs_until_cancelled=True))
+        sim.run(1_000)
+        (_, first_worker), _ = sim.running(1)
+        sim.crash_worker(sim.workers[first_worker])
+        sim.run(fakes.CRASH_DOWN_MS + 1_000)
+        assert len(sim.running(1)) == 2
+        assert not sim.find_problems()
+
+    def test_late_read_of_former_entry_changes_nothing(self, deployment):
+        """Guards against orders to the address that a worker had before it
+        restarted."""
+        sim = deployment(workers=1)
+        worker = sim.workers["w0"]
+        former = worker.entry()
+        worker.crash(incarnation=2)
+        sim.publish_workers()
+        sim.run(1_000)
+        leader = sim.leader()
+        late = former._replace(address="elsewhere:1")
+        sim.dispatch(leader, events.WorkersChanged(sim.now, True, (late,), ()))
+        entry = leader.state.leader.workers["w0"].entry
+        assert entry.address == worker.entry().address
+
     def test_start_that_reaches_restarted_worker_is_kept(self, deployment):
         """Guards against a second run of a task that a restarted worker has
         accepted."""
