Settle without workers whose address another instance has

Callers waited up to 13.7 s for a task when a leader ended just after a worker had crashed: the next leader waited for the leases of that worker.

Cause: a take-over waits until each worker of the roster has answered. A worker that has ended never does, although another instance answers at its address. The roster also kept the address that a worker had when it was first listed, so that answer proved nothing about a worker that had restarted elsewhere. Change: the roster is saved again when an address changes, before the first order to it; a worker whose address in the roster another instance has counts as answered. The format of the row stays. Evidence: both new tests fail without the change.

--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -44,7 +44,7 @@
             continue
         if worker.cordoned or worker.name in leader.trial_workers:
             continue
-        if worker.name not in leader.roster_saved:
+        if leader.roster_saved.get(worker.name) != entry.address:
             continue
         if (
             not worker.is_responsive(state.now)
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -220,6 +220,7 @@
         poll_due_at: When to send the next poll.
         cordoned: Whether it is being drained and takes no new tasks.
         restarted: Whether it has restarted since the last poll.
+        replaced: Whether another instance has its address.
         recent_failures: When a task of a job last failed there, by job.
         quarantined_until: It gets no tasks until then, after many failures.
         backoff_until: It gets no tasks until then, after it refused one.
@@ -245,6 +246,7 @@
         "poll_due_at",
         "poll_pending",
         "name",
+        "replaced",
         "restarted",
         "backoff_until",
         "change_sequence",
@@ -276,6 +278,7 @@
         self.quarantined_until = 0
         self.backoff_until = 0
         self.restarted = False
+        self.replaced = False
         self.cordoned = False
         self.change_sequence = 0
 
@@ -331,6 +334,7 @@
             tasks request.
         work_rows: Rows of `work` whose jobs have not been loaded.
         former_workers: Workers that former leaders may have used.
+        roster_saved: Address by worker, as in the committed roster.
         estimates: Load estimates and interference coefficients by serving
             image.
         saved_coefficients: Coefficients in the store, for a successor.
@@ -374,8 +378,7 @@
         self.preemption_due_at = 0
         self.reserved_cpu_share = 0.0
         self.work_rows: dict[str, Any] = {}
-        self.roster: set[str] = set()
-        self.roster_saved: set[str] = set()
+        self.roster_saved: dict[str, str] = {}
         self.roster_saved_at = 0
         self.roster_saving = False
         self.roster_due_at = 0
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -110,6 +110,7 @@
         worker.restarted = True
         _record_crash(state.leader, worker)
     worker.incarnation = incarnation
+    worker.replaced = False
     worker.fenced = False
     worker.clock = (0, 0)
     worker.acknowledged = 0
@@ -352,6 +353,7 @@
     Its process has ended, and no order to it can be executed any more.
     """
     worker.fenced = False
+    worker.replaced = True
     _record_crash(state.leader, worker)
     for task in list(worker.runs.values()):
         since = worker.answered_at
@@ -422,10 +424,15 @@
     """Ends the wait for unreported runs of former leaders."""
     leader = state.leader
     unreached = []
-    for name in leader.former_workers:
+    for name, (address, _, _) in leader.former_workers.items():
         worker = leader.workers.get(name)
-        if worker is not None and not worker.fenced:
-            unreached.append(name)
+        if worker is None or worker.fenced:
+            continue
+        # Former leaders sent no order to another address than that in the
+        # roster. The list of workers may be older.
+        if worker.replaced and worker.entry.address == address:
+            continue
+        unreached.append(name)
     if unreached and state.now < leader.settled_at:
         return
     leader.settled = True
@@ -446,12 +453,15 @@
 
 
 def _save_roster(state, effects):
-    """Saves the roster, so that a worker is in it before its first order."""
+    """Saves the roster, so that a worker is in it before its first order.
+
+    A worker that has restarted at another address gets no order there before.
+    """
     leader = state.leader
-    names = set(leader.workers)
-    if names == leader.roster_saved or leader.roster_saving:
+    addresses = {w.name: w.entry.address for w in leader.workers.values()}
+    if addresses == leader.roster_saved or leader.roster_saving:
         return
-    if names < leader.roster_saved:
+    if addresses.items() < leader.roster_saved.items():
         # Not urgent: a successor only asks workers in vain that have left.
         if state.now < leader.roster_saved_at + ROSTER_SHRINK_INTERVAL_MS:
             return
@@ -470,7 +480,7 @@
         if answer.status == "ok":
             leadership.record_commit(state, answer)
             leader.roster_version = answer.version
-            leader.roster_saved = names
+            leader.roster_saved = addresses
             leader.roster_saved_at = state.now
             leader.placement_requested = True
             return
--- a/tests/scheduler/test_faults.py
+++ b/tests/scheduler/test_faults.py
@@ -271,6 +271,34 @@
         assert len(sim.running(1)) == 2
         assert not sim.find_problems()
 
+    def test_replaced_worker_does_not_delay_a_takeover(self, deployment):
+        """Guards against waiting for the leases of a worker whose address
+        another worker has already."""
+        sim = deployment()
+        sim.submit(1, fakes.step(2, runs_until_cancelled=True))
+        sim.run(1_000)
+        (_, first_worker), _ = sim.running(1)
+        sim.crash_worker(sim.workers[first_worker])
+        sim.kill(sim.leader().name)
+        sim.run(5_000)
+        assert len(sim.running(1)) == 2
+        assert not sim.find_problems()
+
+    def test_roster_has_the_address_of_a_restarted_worker(self, deployment):
+        """Guards against a new leader that takes a worker for ended because
+        another instance has the address of its earlier incarnation."""
+        sim = deployment(workers=1)
+        worker = sim.workers["w0"]
+        worker.crash(incarnation=2)
+        moved = worker.entry()._replace(address="elsewhere:1")
+        leader = sim.leader()
+        sim.dispatch(leader, events.WorkersChanged(sim.now, True, (moved,), ()))
+        sim.submit(1, fakes.step())
+        while not sim.starts:
+            sim.run(1)
+        row = sim.store.rows["leadership", "roster"]
+        assert row.value["w0"][0] == "elsewhere:1"
+
     def test_late_read_of_former_entry_changes_nothing(self, deployment):
         """Guards against orders to the address that a worker had before it
         restarted."""
