Wait for the leases of a leader before an unsettled one

Cause: a leader without the store sends orders for 6 s after its last commit, and another node claims after 2.4 s. That node waits 3.6 s longer than a lease before it starts tasks that an unreachable worker may run. But a claim of a free leadership (after a release, by the node that led, or repeated because the answer to the first claim was lost) waited only for a lease. If the leader in between had not settled, the one before it could still renew leases of a worker that only it reaches.

Change: the heartbeat and a release say whether the leader has settled. A claim counts as planned only if it had. Rows of earlier builds lack the field and lead to the longer wait.

--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -199,6 +199,19 @@
     return owner.get("node") == state.cfg.node
 
 
+def _has_settled(state):
+    """Returns whether the former leader has settled.
+
+    If it has not, leaders before it may still send orders.
+    """
+    owner = state.owner
+    if owner is None or owner.get("settled"):
+        return True
+    if state.heartbeat.get("epoch") != owner.get("epoch"):
+        return False
+    return bool(state.heartbeat.get("settled"))
+
+
 def _claim_delay_ms(state):
     """Returns a random delay, which is longer for small VMs."""
     jitter_ms = CLAIM_JITTER_MS
@@ -244,7 +257,7 @@
     epoch = (state.owner or {}).get("epoch", 0) + 1
     value = _owner_value(state, epoch, released=False)
     former = state.owner
-    planned = _is_free(state)
+    planned = _is_free(state) and _has_settled(state)
 
     def done(state, effects, answer):
         if answer.status != "ok":
@@ -379,7 +392,11 @@
     waiting = state.heartbeat.get("waiting", {})
     if is_loaded(leader) and not leader.job_rows:
         waiting = _count_waiting(leader)
-    value = {"epoch": leader.epoch, "waiting": waiting}
+    value = {
+        "epoch": leader.epoch,
+        "waiting": waiting,
+        "settled": leader.settled,
+    }
     store.commit(
         state,
         effects,
@@ -408,6 +425,7 @@
     step_down(state, effects, "released")
     value = _owner_value(state, leader.epoch, True, successor)
     value["largest"] = max(value["largest"], leader.successor_capacity)
+    value["settled"] = leader.settled
     store.commit(
         state,
         effects,
--- a/tests/scheduler/test_leadership.py
+++ b/tests/scheduler/test_leadership.py
@@ -238,3 +238,86 @@
         assert sim.state_of(1) == "done"
         assert sim.leader().state.leader.starts_in_flight == 0
         assert not sim.find_problems()
+
+
+class TestSettling:
+    """A leader without the store, and the worker that only it reaches."""
+
+    def cut_off_leader(self, sim):
+        """Cuts off the leader with the worker of a task; returns both."""
+        sim.submit(1, fakes.step(cpu=9_000, runs_until_cancelled=True))
+        sim.run(1_000)
+        former = sim.leader()
+        ((_, reached),) = sim.running(1)
+        sim.store.modes[former.name] = "silent"
+        for worker in sim.workers:
+            if worker != reached:
+                sim.cut_links.add((former.name, worker))
+        self.cut_off_worker(sim, former, reached)
+        return former, reached
+
+    def cut_off_worker(self, sim, former, worker):
+        for name in sim.nodes:
+            if name != former.name:
+                sim.cut_links.add((name, worker))
+
+    def wait_for_other_leader(self, sim, former):
+        while sim.leader() is former:
+            sim.run(5)
+        return sim.leader()
+
+    def check(self, sim):
+        sim.run(20_000)
+        assert not sim.find_problems()
+        assert len(sim.starts) == 2
+
+    def test_restarted_leader_waits_for_its_predecessor(self, deployment):
+        """Guards against a second run of a task that a leader without the
+        store keeps running, when the next leader restarts at once."""
+        sim = deployment(workers=3)
+        former, worker = self.cut_off_leader(sim)
+        leader = self.wait_for_other_leader(sim, former)
+        sim.kill(leader.name)
+        sim.add_node(leader.name)
+        self.cut_off_worker(sim, former, worker)
+        self.check(sim)
+
+    def test_leader_after_a_release_waits_for_an_earlier_one(self, deployment):
+        """Guards against a second run of a task that a leader without the
+        store keeps running, when the next leader stops at once."""
+        sim = deployment(workers=3)
+        former, _ = self.cut_off_leader(sim)
+        leader = self.wait_for_other_leader(sim, former)
+        sim.dispatch(leader, events.StopRequested(sim.now))
+        self.check(sim)
+
+    def test_repeated_claim_waits_for_the_predecessor(self, deployment):
+        """Guards against a second run of a task that a leader without the
+        store keeps running, when the first claim of the next leader got no
+        answer."""
+        sim = deployment(workers=3)
+        former, _ = self.cut_off_leader(sim)
+        for name in sim.nodes:
+            if name != former.name:
+                sim.store.modes[name] = "lose"
+        while sim.store.rows["leadership", "owner"].value["epoch"] == 1:
+            sim.run(5)
+        sim.run(10)
+        for name in sim.nodes:
+            if name != former.name:
+                del sim.store.modes[name]
+        self.check(sim)
+
+    def test_restart_of_a_settled_leader_adds_no_wait(self, deployment):
+        """Guards against a longer wait for leases that nobody can have
+        renewed since the leader restarted."""
+        sim = deployment(workers=2)
+        sim.run(2_000)
+        leader = sim.leader()
+        sim.kill(leader.name)
+        sim.add_node(leader.name)
+        sim.run(1_500)
+        found = sim.leader().state.leader
+        assert found.epoch == 2
+        lease_ms = leadership.lease_ms(leader.state.cfg)
+        assert found.settled_at - found.since < lease_ms + 100
