Add failing tests of six causes of runs and starts too many

- A poll answer of a restarted worker that was given before a start, and read after the start's answer, makes the leader start the task again (TWICE).
- A poll that carries the last number of the former incarnation makes a restarted worker forget ends unread (TWICE, BUDGET).
- A run of a closed job that a new leader stops is not counted in the capacity of its worker (LIMIT, where workers do not guard it).
- A resumed former leader starts tasks on a worker that has restarted and forgotten the newer epoch (TWICE).
- An end is acknowledged although its job is failed only in memory (TWICE after the next take-over).
- Commits other than heartbeats extend the permission to send orders, but not the time after which others claim (TWICE).

--- a/tests/scheduler/test_leadership.py
+++ b/tests/scheduler/test_leadership.py
@@ -308,6 +308,26 @@
                 del sim.store.modes[name]
         self.check(sim)
 
+    def test_commits_without_heartbeats_do_not_extend_the_permission(
+        self, deployment
+    ):
+        """Guards against a second run of a task that a leader keeps running,
+        whose other commits succeed until the others miss its heartbeats."""
+        sim = deployment(workers=3)
+        former, _ = self.cut_off_leader(sim)
+        sim.store.modes[former.name] = "no heartbeats"
+        others = [name for name in sim.nodes if name != former.name]
+        number = 1
+        while not any(sim.nodes[name].state.claiming for name in others):
+            if sim.now % 60 == 0:
+                number += 1
+                sim.submit(number, fakes.step(cpu=10), node=others[0])
+            sim.run(1)
+        sim.store.modes[former.name] = "silent"
+        sim.run(20_000)
+        assert not sim.find_problems()
+        assert len(sim.running(1)) == 1
+
     def test_restart_of_a_settled_leader_adds_no_wait(self, deployment):
         """Guards against a longer wait for leases that nobody can have
         renewed since the leader restarted."""
--- /dev/null
+++ b/tests/scheduler/test_restarted_worker.py
@@ -0,0 +1,122 @@
+"""Workers that restart under their name before the leader knows it."""
+
+import scheduler_fakes as fakes
+
+
+class TestRestartedWorker:
+    def test_start_confirmed_during_a_poll_is_not_lost(self, deployment):
+        """Guards against a second run of a task that the new incarnation of a
+        worker runs, when the answer to a poll that it got before the start
+        arrives after the answer to the start."""
+        sim = deployment(workers=1)
+        worker = sim.workers["w0"]
+        worker.run_ms = 3_000
+        worker.poll_delay_ms = 300
+        sim.run(1_000)
+        worker.crash(incarnation=2)
+        sim.run(400)
+        sim.submit(1, fakes.step())
+        sim.run(8_000)
+        assert not sim.find_problems()
+        assert len(sim.starts) == 1
+        assert sim.state_of(1) == "done"
+
+    def test_end_is_not_acknowledged_with_an_old_number(self, deployment):
+        """Guards against a second run of a task whose end the worker forgets
+        unread, because the leader acknowledges a number of the former
+        incarnation."""
+        sim = deployment(workers=1)
+        worker = sim.workers["w0"]
+        sim.submit(1, fakes.step(3))
+        sim.run(2_000)
+        assert sim.state_of(1) == "done"
+        worker.run_ms = 100
+        known = sim.leader().state.leader.workers["w0"]
+        while not known.poll_pending:
+            sim.run(1)
+        sim.run(50)
+        worker.crash(incarnation=2)
+        sim.submit(2, fakes.step())
+        sim.run(8_000)
+        assert not sim.find_problems()
+        assert len(sim.starts) == 4
+        assert sim.state_of(2) == "done"
+
+
+class TestRunOfClosedJob:
+    def test_takes_up_capacity_until_it_has_stopped(self, deployment):
+        """Guards against a start that exceeds the capacity of a worker which
+        still runs a task of a job that its leader does not know."""
+        sim = deployment(workers=1)
+        sim.submit(1, fakes.step(cpu=15_000, runs_until_cancelled=True))
+        sim.run(1_000)
+        former = sim.leader()
+        sim.cut_links.add((former.name, "w0"))
+        other = next(name for name in sim.nodes if name != former.name)
+        sim.cancel(1, node=other)
+        sim.run(500)
+        sim.kill(former.name)
+        sim.submit(2, fakes.step(cpu=15_000), node=other)
+        sim.run(10_000)
+        assert not sim.find_problems()
+        assert sim.state_of(2) == "done"
+
+
+class TestFormerLeader:
+    def test_does_not_start_tasks_on_a_restarted_worker(self, deployment):
+        """Guards against a second run of a task that a resumed former leader
+        starts on a worker which has forgotten the newer epoch."""
+        sim = deployment(nodes=2, workers=3)
+        sim.submit(
+            1,
+            fakes.step(cpu=9_000, runs_until_cancelled=True, checkpoints=True),
+        )
+        sim.run(1_000)
+        former = sim.leader()
+        ((_, name),) = sim.running(1)
+        for worker in sim.workers:
+            if worker != name:
+                sim.cut_links.add((former.name, worker))
+        sim.pause(former)
+        sim.store.modes[former.name] = "refuse"
+        while sim.leader() is former:
+            sim.run(5)
+        sim.run(600)
+        leader = sim.leader().name
+        sim.workers[name].crash(incarnation=2)
+        sim.resume(former)
+        sim.cut_links.add((leader, name))
+        sim.run(600)
+        sim.cut_links.discard((leader, name))
+        sim.run(8_000)
+        assert not sim.find_problems()
+        assert len(sim.running(1)) == 1
+
+
+class TestJobThatFailed:
+    def test_end_waits_until_the_failure_is_saved(self, deployment):
+        """Guards against a second run of a task whose end was acknowledged
+        when its job had failed, but no row said so yet."""
+        sim = deployment(workers=3)
+        key = fakes.records.TaskKey(fakes.job_id(1), 0, 0, 0)
+        sim.failing_tasks.add(key)
+        for worker in sim.workers.values():
+            worker.run_ms = 100
+        sim.submit(1, fakes.step(2, cpu=9_000))
+        while len([row for row in sim.starts if row[1] == key]) < 2:
+            sim.run(1)
+        second = sim.starts[-1][3]
+        # The failure is read before the end of the other task.
+        for worker in sim.workers.values():
+            worker.poll_delay_ms = 100 if worker.name == second else 600
+        former = sim.leader()
+        sim.store.modes[former.name] = "refuse"
+        sim.run(2_000)
+        sim.kill(former.name)
+        sim.workers[second].crash(incarnation=2)
+        for worker in sim.workers.values():
+            worker.poll_delay_ms = 0
+        sim.publish_workers()
+        sim.run(20_000)
+        assert not sim.find_problems()
+        assert sim.state_of(1) == "failed"
