Count runs that no task has until they have stopped

Seen: on workers that do not enforce their capacity, a new leader that stopped the run of a cancelled job started another task in its place at once, while the run still used its resources.

Cause: a run that a poll lists and that is not adopted is ordered to stop, but `Worker.used` only counted the runs of tasks. The same holds for the run of a job that the leader cannot read, and for an earlier run of a task that has been started again elsewhere.

Change: such runs are counted from the poll that lists them until one that does not; while the resources of one are unknown, the worker gets no task. A preemption counts them as resources about to become free.

--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -51,6 +51,30 @@
     worker.used[2] -= need.accelerators
 
 
+def count_unwanted_runs(leader, worker, keys):
+    """Counts runs that no task here has, until they are not listed any more.
+
+    A run uses its resources until it has stopped, whoever started it.
+    """
+    for need in worker.unwanted_runs:
+        for index, amount in enumerate(need):
+            worker.used[index] -= amount
+    worker.unwanted_runs = []
+    worker.has_unknown_run = False
+    for key in keys:
+        job = leader.jobs.get(key.job)
+        if job is None or key.step >= len(job.spec.steps):
+            worker.has_unknown_run = True
+            continue
+        step = job.spec.steps[key.step]
+        need = step.resources
+        if step.best_effort:
+            need = need._replace(cpu=0)
+        worker.unwanted_runs.append(need)
+        for index, amount in enumerate(need):
+            worker.used[index] += amount
+
+
 def may_start_more(leader) -> bool:
     """Returns whether another start order may be sent now."""
     return leader.starts_in_flight < MAX_STARTS_IN_FLIGHT
--- a/packages/core/src/skylarklug/scheduler/preemption.py
+++ b/packages/core/src/skylarklug/scheduler/preemption.py
@@ -58,6 +58,8 @@
                 and not other.step.best_effort
             ):
                 missing_cpu -= other.step.resources.cpu
+        for need in worker.unwanted_runs:
+            missing_cpu -= need.cpu
         if missing_cpu <= 0:
             # A stop in progress already frees enough CPU.
             return None
--- a/packages/core/src/skylarklug/scheduler/scoring.py
+++ b/packages/core/src/skylarklug/scheduler/scoring.py
@@ -53,6 +53,8 @@
 
 def fits(worker, step) -> bool:
     """Returns whether a worker has the resources that a task requests."""
+    if worker.has_unknown_run:
+        return False
     need = step.resources
     capacity = worker.entry.capacity
     used = worker.used
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -185,7 +185,11 @@
         incarnation: Number of its latest known start.
         clock: (worker's clock ms, our clock ms) at its latest answer.
         runs: Tasks that run or may run there, by key.
-        used: [CPU, memory, accelerators] that those tasks reserve.
+        used: [CPU, memory, accelerators] that those tasks reserve and that
+            `unwanted_runs` use.
+        unwanted_runs: Resources of the runs that it listed last although no
+            task here has them; they are being stopped.
+        has_unknown_run: Whether the resources of one of those are unknown.
         allowed_shares: Share of its CPU that best-effort tasks may use now, by
             image.
         recently_ended: Best-effort tasks that ended recently, as (image, CPU,
@@ -231,6 +235,8 @@
         "change_sequence",
         "runs",
         "unsaved_ends",
+        "unwanted_runs",
+        "has_unknown_run",
         "used",
     )
 
@@ -243,6 +249,8 @@
         self.clock = (0, 0)
         self.runs: dict[records.TaskKey, Task] = {}
         self.used = [0, 0, 0]
+        self.unwanted_runs: list[records.Resources] = []
+        self.has_unknown_run = False
         self.allowed_shares: dict[str, float] = {}
         self.recently_ended: list[tuple[str, float, int]] = []
         self.acknowledged = 0
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -221,14 +221,18 @@
 def _reconcile(state, effects, worker, event):
     """Reconciles the runs that a worker reports with the leader's state."""
     listed = set()
+    unwanted = []
     for report in event.running:
         task = worker.runs.get(report.key)
         if task is None or task.attempt != report.attempt:
             if _adopt_run(state, effects, worker, report):
                 listed.add(report.key)
+            else:
+                unwanted.append(report.key)
             continue
         listed.add(report.key)
         _update_run(state, task, report)
+    orders.count_unwanted_runs(state.leader, worker, unwanted)
     for key, task in list(worker.runs.items()):
         if key in listed:
             task.missed_polls = 0
