Keep a run that a restarted worker has confirmed after a poll was sent

Seen: a worker restarted under its name and answered a poll slowly. Meanwhile it confirmed a start; the answer to the poll, which showed the restart and was older, then arrived, and the task was started again beside its first run.

Cause: the first poll that shows a restart made every run lost that it does not list, also one confirmed after that poll was sent.

Change: such a run waits for the next polls, like any other.

--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -282,7 +282,7 @@
 def _on_run_not_listed(state, effects, worker, task, sent_at):
     if task.status == state_lib.STARTING:
         return
-    if worker.restarted:
+    if worker.restarted and sent_at >= task.confirmed_at:
         _mark_run_lost(state, effects, worker, task, "reborn")
         return
     if not task.confirmed_at or sent_at < task.confirmed_at:
--- a/tests/scheduler/test_faults.py
+++ b/tests/scheduler/test_faults.py
@@ -280,6 +280,23 @@
         assert not sim.find_problems()
         assert sim.state_of(1) == "done"
 
+    def test_run_started_during_the_first_poll_of_a_restart(self, deployment):
+        """Guards against a second run of a task that a restarted worker has
+        confirmed before the answer to an earlier poll, which shows the restart,
+        arrives."""
+        sim = deployment(workers=1)
+        worker = sim.workers["w0"]
+        worker.run_ms = 3_000
+        worker.poll_delay_ms = 700
+        sim.run(1_000)
+        worker.crash(incarnation=2)
+        for number in range(1, 11):
+            sim.submit(number, fakes.step(cpu=1_500))
+            sim.run(100)
+        sim.run(10_000)
+        assert not sim.find_problems()
+        assert len(sim.starts) == 10
+
     def test_draining_worker_is_drained(self, deployment):
         """Guards against tasks that are lost when a draining worker leaves."""
         sim = deployment()
