Start tasks on unguarded workers by recent entries only

Seen: a leader that the store refuses, one whose feed of worker entries alone gets no answers, and one that was suspended, each started a task by a capacity that the worker had lost more than 4.5 s before.

Cause: a leader acts for six seconds after its last commit, and nothing limited the age of the worker entries that it placed tasks by. Workers that do not enforce their capacity start whatever they are told to.

Change: a leader knows how old its entries are at most, because its feed reads them again each second although nothing has changed. On services whose workers do not enforce their capacity (from the configuration), it starts tasks by entries that are younger than the notice time of the settings less the time of an order; an order that waits longer is not sent. Nothing changes for the other services but that one feed, whose reads without changes return after 1 s instead of 2 s.

The simulated feed now answers without changes too, as the real one does, does not answer where the store does not, and does not queue entries for a suspended process, which reads them afterwards.

--- /dev/null
+++ b/packages/core/src/skylarklug/scheduler/capacity.py
@@ -0,0 +1,51 @@
+"""Whether the known capacity of a worker is recent enough to start tasks.
+
+A worker's capacity may shrink at any time; its entry in the platform's list
+shows it. Workers of most services reject what does not fit. The workers of the
+others start whatever they are told to, so a leader only starts tasks on them by
+entries that it has read a short time ago.
+
+Load pattern: the store is away for some seconds, for this node or for everyone.
+Meanwhile workers shrink. A leader acts on for some seconds.
+"""
+
+from skylarklug.scheduler import leadership
+
+# Longest time in which an order is answered, and the jitter of entries.
+MARGIN_MS = 500
+
+
+def is_enforced(state, service) -> bool:
+    """Returns whether a service's workers reject what does not fit."""
+    cfg = state.configuration
+    return cfg is None or service not in cfg.unguarded_services
+
+
+def is_current(state, worker) -> bool:
+    """Returns whether tasks may start by the capacity in a worker's entry."""
+    if is_enforced(state, worker.entry.service):
+        return True
+    return state.now < _entries_valid_until(state)
+
+
+def starts_valid_until(state, worker) -> int:
+    """Returns until when a start that is ordered now may be sent."""
+    valid_until = leadership.orders_valid_until(state)
+    if is_enforced(state, worker.entry.service):
+        return valid_until
+    return min(valid_until, _entries_valid_until(state))
+
+
+def record_entries_read(state) -> None:
+    """Records an answer of the feed of worker entries.
+
+    The feed sends each read after the answer to the previous one, so this
+    answer is at most as old as that one was received.
+    """
+    leader = state.leader
+    leader.entries_read_at = leader.entries_answered_at
+    leader.entries_answered_at = state.now
+
+
+def _entries_valid_until(state):
+    return state.leader.entries_read_at + state.cfg.entry_notice_ms - MARGIN_MS
--- a/packages/core/src/skylarklug/scheduler/effects.py
+++ b/packages/core/src/skylarklug/scheduler/effects.py
@@ -57,9 +57,14 @@
 
 
 class WatchTable(NamedTuple):
-    """Read a table and report its changes from then on."""
+    """Read a table and report its changes from then on.
+
+    A read without changes returns after `wait_ms`. This bounds how long a dead
+    connection goes undetected.
+    """
 
     table: str
+    wait_ms: int = 2_000
 
 
 class UnwatchTable(NamedTuple):
--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -123,7 +123,11 @@
 
 
 class WorkersChanged(NamedTuple):
-    """Worker entries changed. `whole` marks a full snapshot."""
+    """Worker entries were read. `whole` marks a full snapshot.
+
+    There is an event for each answer, also for one without changes. The next
+    read is sent after it.
+    """
 
     at: int
     whole: bool
--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -41,6 +41,9 @@
 CLOCK_DRIFT = 0.02
 # Margin that is added to the expiry time of a lease.
 LEASE_MARGIN_MS = 500
+# Interval at which worker entries are read again, although nothing changed, so
+# that a leader knows how old they are.
+ENTRY_READ_INTERVAL_MS = 1_000
 # Tables that a leader reads before its state is complete.
 REQUIRED_TABLES = frozenset({"jobs", "work", "roster"})
 
@@ -316,7 +319,7 @@
     effects.append(fx.Log("info", "leadership-gained", fields))
     effects.append(fx.Measure("skylarklug.takeovers", 1, {}))
     effects.append(fx.WatchTable("jobs"))
-    effects.append(fx.WatchTable("workers"))
+    effects.append(fx.WatchTable("workers", ENTRY_READ_INTERVAL_MS))
     _read_previous_state(state, effects, leader)
 
 
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -1,5 +1,6 @@
 """Orders to workers (start, stop and pace) and their answers."""
 
+from skylarklug.scheduler import capacity
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import interference
@@ -140,7 +141,7 @@
             task.ticket,
             worker.clock_now(state.now) + state.cfg.max_lease_ms,
             ORDER_TIMEOUT_MS,
-            leadership.orders_valid_until(state),
+            capacity.starts_valid_until(state, worker),
         )
     )
 
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from skylarklug.scheduler import advice
+from skylarklug.scheduler import capacity
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import gangs
@@ -36,6 +37,7 @@
     leader = state.leader
     step = task.step
     service = jobs.service_of(state, task.job)
+    enforced = capacity.is_enforced(state, service)
     found = []
     for worker in leader.workers.values():
         entry = worker.entry
@@ -52,6 +54,8 @@
             continue
         if step.label and step.label not in entry.labels:
             continue
+        if not enforced and not capacity.is_current(state, worker):
+            continue
         found.append(worker)
     return found
 
--- a/packages/core/src/skylarklug/scheduler/records.py
+++ b/packages/core/src/skylarklug/scheduler/records.py
@@ -121,10 +121,17 @@
 
 
 class Configuration(NamedTuple):
-    """One version of the operator's configuration."""
+    """One version of the operator's configuration.
+
+    Attributes:
+        queues: Queues by name.
+        unguarded_services: Services whose workers start whatever they are told
+            to, even above their capacity.
+    """
 
     version: int
     queues: dict[str, Queue]
+    unguarded_services: frozenset[str] = frozenset()
 
     def match(self, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest matching prefix, or None."""
@@ -213,6 +220,8 @@
             its processor, memory and link allow.
         machine_lease_ms: Time for which a leader that has sent an order to the
             machine API may rely on no other leader sending one.
+        entry_notice_ms: Age that the known entry of a worker may have when a
+            task starts by it.
     """
 
     node: str
@@ -223,3 +232,4 @@
     status_ms: int
     capacity: float = 1.0
     machine_lease_ms: int = 3_000
+    entry_notice_ms: int = 3_000
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -321,6 +321,8 @@
         successor: Node on a larger VM that asks to take over; empty for none.
         successor_capacity: Capacity of that VM, in cores.
         starts_in_flight: Start orders that are not answered yet.
+        entries_answered_at: When worker entries were last received.
+        entries_read_at: The received entries are at least as recent as this.
     """
 
     def __init__(self, epoch: int, owner_version: int, now: int):
@@ -331,6 +333,8 @@
         self.successor = ""
         self.successor_capacity = 0.0
         self.starts_in_flight = 0
+        self.entries_answered_at = now
+        self.entries_read_at = now
         self.settled_at = 0
         self.settled = False
         self.loaded: set[str] = set()
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -1,5 +1,6 @@
 """Tracks workers on their leader: registration, polls, leases and runs."""
 
+from skylarklug.scheduler import capacity
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import ends
 from skylarklug.scheduler import events
@@ -46,6 +47,7 @@
     leader = state.leader
     if leader is None:
         return
+    capacity.record_entries_read(state)
     present = set()
     for entry in event.entries:
         present.add(entry.worker)
--- a/packages/node/src/skylarklugd/feeds.py
+++ b/packages/node/src/skylarklugd/feeds.py
@@ -5,8 +5,6 @@
 
 from skylarklug import exceptions
 
-# Long-poll timeout. It bounds how long a dead connection goes undetected.
-LONG_POLL_TIMEOUT_MS = 2_000
 # The delay grows by RETRY_DELAY_MS with each consecutive failure.
 RETRY_DELAY_MS = 150
 MAX_RETRY_DELAY_MS = 600
@@ -30,10 +28,18 @@
         on_failure: Called with the table for each failed request.
         log: Called with (level, event, fields).
         rng: Source of jitter for retries.
+        wait_ms: Timeout of a long poll.
     """
 
     def __init__(
-        self, table, store, on_rows, on_failure, log, rng: random.Random
+        self,
+        table,
+        store,
+        on_rows,
+        on_failure,
+        log,
+        rng: random.Random,
+        wait_ms: int,
     ):
         self._table = table
         self._store = store
@@ -41,6 +47,7 @@
         self._on_failure = on_failure
         self._log = log
         self._rng = rng
+        self._wait_ms = wait_ms
         self._version = None
         self._failures = 0
         self._task = asyncio.get_running_loop().create_task(self._run())
@@ -77,7 +84,7 @@
             self._on_rows(self._table, True, rows)
             return
         version, rows = await self._store.changes(
-            self._table, self._version, LONG_POLL_TIMEOUT_MS
+            self._table, self._version, self._wait_ms
         )
         self._version = version
         self._on_rows(self._table, False, rows)
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -217,6 +217,7 @@
             self._on_feed_failed,
             self.log,
             self._rng,
+            effect.wait_ms,
         )
 
     def _unwatch_table(self, effect):
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -270,6 +270,7 @@
             "grace_s": 6,
             "gang_timeout_ms": 3_000,
             "finish_s": 14,
+            "contact_ms": 3_500,
             "status_s": 120,
             "far_factor": 2,
             "harm_ms": 4_000,
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -1,6 +1,7 @@
 import asyncio
 import json
 import pathlib
+import random
 import re
 
 import platform_standin as standin
@@ -57,6 +58,7 @@
         field to the settings file."""
         text = json.dumps(standin.settings("a:1", "b:2", "c:3", [7_720, 7_735]))
         cfg = settings.parse(text, 5)
+        assert cfg.core.entry_notice_ms == 3_500
         assert cfg.core.max_lease_ms == 6_000
         assert cfg.core.incarnation == 5
         assert cfg.metrics_address == "127.0.0.1:7720"
@@ -174,6 +176,55 @@
         assert decode(1, "operator", False, [unreadable]) == []
         assert log.lines[0][0] == "operator-row-unreadable"
 
+    def test_services_without_enforcement_are_unguarded(self):
+        """Guards against workers that are taken to reject what does not fit,
+        because the field that says otherwise is false or omitted."""
+        fields = {
+            **standin.CONFIGURATION,
+            "services": [
+                {"name": "hub", "enforces_capacity": True},
+                {"name": "open", "enforces_capacity": False},
+                {"name": "plain"},
+            ],
+        }
+        row = {"key": "config", "value": wire.encode_value(fields)}
+        (event,) = store.rows_decoder(Log())(1, "operator", False, [row])
+        assert event.cfg.unguarded_services == {"open", "plain"}
+
+    def test_answer_without_changes_is_an_event(self):
+        """Guards against entries that seem outdated although the feed gets
+        answers, and against a feed that waits longer than it should."""
+        waits = []
+        events = []
+        decode = store.rows_decoder(Log())
+
+        class Store:
+            async def scan(self, table):
+                return 1, ()
+
+            async def changes(self, table, after, wait_ms):
+                waits.append(wait_ms)
+                if len(waits) == 2:
+                    await asyncio.sleep(60)
+                return 1, ()
+
+        async def run():
+            feed = feeds.Feed(
+                "workers",
+                Store(),
+                lambda *answer: events.extend(decode(NOW, *answer)),
+                None,
+                Log(),
+                random.Random(1),
+                700,
+            )
+            await asyncio.sleep(0.05)
+            feed.stop()
+
+        asyncio.run(run())
+        assert waits == [700, 700]
+        assert [event.whole for event in events] == [True, False]
+
     def test_commit_results(self):
         """Guards against a result that does not match the store's response."""
 
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -131,6 +131,8 @@
         self.draining = False
         self.run_ms = 500
         self.fail = set()
+        # Number of starts to lose.
+        self.lost_starts = 0
         # Number of starts to execute without sending an answer.
         self.unanswered_starts = 0
         # Additional delay of each answer to a poll.
@@ -351,8 +353,9 @@
 class Sim:
     """The simulation. All times are in virtual milliseconds."""
 
-    def __init__(self, nodes=3, workers=4):
+    def __init__(self, nodes=3, workers=4, configuration=CONFIGURATION):
         self.now = 1_000
+        self.configuration = configuration
         self.queue = []
         self.sequence = itertools.count()
         self.incarnations = itertools.count(1)
@@ -403,7 +406,7 @@
         self.deliver(
             node,
             STORE_DELAY_MS,
-            lambda at: events.ConfigurationRead(at, CONFIGURATION),
+            lambda at: events.ConfigurationRead(at, self.configuration),
         )
         self.tick(node)
         self.poll_watches(node)
@@ -518,6 +521,9 @@
         def read():
             if node.watched.get(table) is not watch_id:
                 return
+            if not self.serves(node, table):
+                node.missed.add(table)
+                return
             if table == "workers":
                 entries = tuple(w.entry() for w in self.workers.values())
                 event = events.WorkersChanged(self.now, True, entries, ())
@@ -536,12 +542,17 @@
         reachable = self.store.modes.get(node.name, "ok") in ("ok", "lose")
         if reachable and node.paused_events is None:
             for table in sorted(node.watched):
+                if table in node.hung_tables:
+                    continue
                 if table in node.missed:
                     self.watch_table(node, table)
-                elif table != "workers":
+                elif table == "workers":
+                    event = events.WorkersChanged(self.now, False, (), ())
+                    self.dispatch(node, event)
+                else:
                     event = events.RowsChanged(self.now, table, False, ())
                     self.dispatch(node, event)
-            node.missed.clear()
+            node.missed &= node.hung_tables
         elif node.paused_events is None:
             for table in sorted(node.watched):
                 self.dispatch(node, events.FeedFailed(self.now, table))
@@ -566,12 +577,16 @@
                 )
 
     def publish_entry(self, worker):
-        """Sends a changed worker entry to the nodes that read the table."""
+        """Sends a changed worker entry to the nodes that read the table.
+
+        A process that is suspended reads the table when it resumes.
+        """
         entries = (worker.entry(),)
         for node in self.nodes.values():
             if "workers" not in node.watched:
                 continue
-            if not self.serves(node, "workers"):
+            suspended = node.paused_events is not None
+            if suspended or not self.serves(node, "workers"):
                 node.missed.add("workers")
                 continue
             self.deliver(
@@ -649,6 +664,10 @@
             if worker is None or not self.can_reach(node, effect.worker):
                 answer(effect.timeout_ms, "unknown", "silent")
                 return
+            if op == "start" and worker.lost_starts:
+                worker.lost_starts -= 1
+                answer(effect.timeout_ms, "unknown", "silent")
+                return
             if op == "start" and worker.unanswered_starts:
                 worker.unanswered_starts -= 1
                 worker.start(effect)
--- a/tests/scheduler/test_capacity.py
+++ b/tests/scheduler/test_capacity.py
@@ -6,6 +6,11 @@
 
 import scheduler_fakes as fakes
 
+# The workers may be told to start more than fits.
+UNGUARDED = fakes.CONFIGURATION._replace(
+    unguarded_services=frozenset({fakes.SERVICE})
+)
+
 
 def lasting(count=1, **fields):
     return fakes.step(count, runs_until_cancelled=True, **fields)
@@ -67,3 +72,65 @@
         assert task.worker == "w0"
         assert len(sim.running(2)) == 1
         assert not sim.find_problems()
+
+
+class TestOutdatedEntries:
+    """A start counts against a smaller capacity 4.5 s after the worker has
+    shrunk."""
+
+    def occupy(self, sim):
+        """Lets one of two tasks run; the other one starts when it ends."""
+        sim.workers["w0"].run_ms = 5_100
+        sim.submit(1, fakes.step(2, cpu=9_000))
+        while not sim.starts:
+            sim.run(5)
+
+    def test_leader_without_store(self, deployment):
+        """Guards against a leader that is cut off from the store and starts a
+        task by the last capacity that it read."""
+        sim = deployment(workers=1, configuration=UNGUARDED)
+        self.occupy(sim)
+        for node in sim.nodes:
+            sim.store.modes[node] = "refuse"
+        sim.workers["w0"].resize(cpu=8_000)
+        sim.workers["w0"].publish()
+        sim.run(8_000)
+        assert not sim.find_problems()
+
+    def test_feed_of_entries_hangs(self, deployment):
+        """Guards against a leader that starts a task by an old capacity while
+        only its feed of worker entries gets no answers."""
+        sim = deployment(workers=1, configuration=UNGUARDED)
+        self.occupy(sim)
+        sim.leader().hung_tables.add("workers")
+        sim.workers["w0"].resize(cpu=8_000)
+        sim.workers["w0"].publish()
+        sim.run(8_000)
+        assert not sim.find_problems()
+
+    def test_resumed_leader(self, deployment):
+        """Guards against a leader that was suspended and starts a task by what
+        it knew before."""
+        sim = deployment(nodes=1, workers=1, configuration=UNGUARDED)
+        self.occupy(sim)
+        sim.run(100)
+        sim.workers["w0"].resize(cpu=8_000)
+        leader = sim.leader()
+        sim.pause(leader)
+        sim.workers["w0"].publish()
+        sim.run(5_400)
+        sim.resume(leader)
+        sim.run(4_000)
+        assert not sim.find_problems()
+
+    def test_starts_resume_after_an_outage(self, deployment):
+        """Guards against workers that get no tasks after an outage of the
+        store."""
+        sim = deployment(workers=1, configuration=UNGUARDED)
+        self.occupy(sim)
+        for node in sim.nodes:
+            sim.store.modes[node] = "refuse"
+        sim.run(4_700)
+        sim.store.modes.clear()
+        sim.run(4_500)
+        assert len(sim.starts) == 2
