Wait for worker entries after the store may have been away

Seen: a leader that the store served again after 4.7 s read entries from before that time and started a task by one of them on a worker that had shrunk meanwhile.

Cause: what was just read counted as recent, but a worker that could not write for seconds has an entry that is as old as the outage.

Only services whose workers do not enforce their capacity are concerned.

--- a/packages/core/src/skylarklug/scheduler/lifecycle.py
+++ b/packages/core/src/skylarklug/scheduler/lifecycle.py
@@ -6,6 +6,7 @@
 the balancer uses all.
 """
 
+from skylarklug.scheduler import capacity
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import leadership
@@ -60,6 +61,8 @@
 
 
 def _record_store_access(state, effects, succeeded):
+    if succeeded:
+        capacity.record_store_served(state)
     if succeeded and state.store_lost_at:
         state.store_lost_at = 0
         _update_ready(state, effects)
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -403,6 +403,10 @@
         self.leadership_read_at = -1
         # Since when the store has not served this node; 0 while it does.
         self.store_lost_at = 0
+        # When the store last served this node, and when it last did so after
+        # a time in which it may have been away.
+        self.store_served_at = 0
+        self.store_returned_at = 0
         # Latest known state by job, oldest first.
         self.known_states: dict[str, str] = {}
         self.heartbeat: Any = {}
--- a/tests/scheduler/test_capacity.py
+++ b/tests/scheduler/test_capacity.py
@@ -108,6 +108,28 @@
         sim.run(8_000)
         assert not sim.find_problems()
 
+    def test_entry_from_before_an_outage(self, deployment):
+        """Guards against a start by an entry that the worker has not been able
+        to change, because the store was not available until now."""
+        sim = deployment(workers=2, configuration=UNGUARDED)
+        sim.workers["w1"].cpu = 1_000
+        sim.publish_workers()
+        sim.run(100)
+        self.occupy(sim)
+        for node in sim.nodes:
+            sim.store.modes[node] = "refuse"
+        sim.store.refuses_workers = True
+        sim.workers["w0"].resize(cpu=8_000)
+        sim.workers["w0"].publish()
+        sim.run(4_700)
+        sim.store.modes.clear()
+        sim.store.refuses_workers = False
+        for _ in range(3):
+            sim.run(20)
+            sim.workers["w1"].publish()
+        sim.run(8_000)
+        assert not sim.find_problems()
+
     def test_resumed_leader(self, deployment):
         """Guards against a leader that was suspended and starts a task by what
         it knew before."""
