Do not start tasks by the entry of a worker's earlier incarnation

Seen: a worker restarted under its name with a smaller capacity; a task started there by the entry from before the restart.

Cause: a poll shows the restart at once, the entry only with the next heartbeat; until then the leader placed tasks by the former capacity.

Change: on services whose workers do not enforce their capacity, a worker gets tasks once its entry is of the incarnation that polls show.

Tests: test_entry_of_an_earlier_incarnation failed before with "w0 holds [10000, 100, 0] of [8000, 64000, 0] at 4406"; now it passes.

--- a/packages/core/src/skylarklug/scheduler/capacity.py
+++ b/packages/core/src/skylarklug/scheduler/capacity.py
@@ -33,6 +33,8 @@
     """Returns whether tasks may start by the capacity in a worker's entry."""
     if is_enforced(state, worker.entry.service):
         return True
+    if 0 < worker.entry.incarnation < worker.incarnation:
+        return False
     read_at = state.leader.entries_read_at
     if read_at < state.store_returned_at + ENTRY_REFRESH_MS:
         return False
--- a/tests/scheduler/test_capacity.py
+++ b/tests/scheduler/test_capacity.py
@@ -145,6 +145,20 @@
         sim.run(4_000)
         assert not sim.find_problems()
 
+    def test_entry_of_an_earlier_incarnation(self, deployment):
+        """Guards against a start on a restarted worker by the capacity that it
+        had before."""
+        sim = deployment(workers=1, configuration=UNGUARDED)
+        sim.submit(1, lasting(cpu=10_000))
+        sim.run(1_000)
+        worker = sim.workers["w0"]
+        worker.capacity = worker.capacity._replace(cpu=8_000)
+        worker.crash(incarnation=2)
+        sim.run(1_000)
+        worker.publish()
+        sim.run(3_000)
+        assert not sim.find_problems()
+
     def test_starts_resume_after_an_outage(self, deployment):
         """Guards against workers that get no tasks after an outage of the
         store."""
