Repeat a start order only while the task still fits

Seen: start orders to a worker got lost; it shrank, which its entry showed; a repeated order then started the task above its capacity.

Cause: an order without an answer is repeated as it was decided first.

Change: on services whose workers do not enforce their capacity, the entry must be recent for a repeated order too, and if the runs there exceed the capacity now, the run is stopped instead: an earlier order may have been carried out, and after a stop the worker rejects it.

Tests: test_repeated_start_order failed before with "w0 holds [9000, 100, 0] of [8000, 64000, 0] at 9327"; now it passes.

--- a/packages/core/src/skylarklug/scheduler/capacity.py
+++ b/packages/core/src/skylarklug/scheduler/capacity.py
@@ -41,6 +41,12 @@
     return state.now < _entries_valid_until(state)
 
 
+def is_exceeded(worker) -> bool:
+    """Returns whether the runs on a worker need more than it has now."""
+    pairs = zip(worker.used, worker.entry.capacity, strict=True)
+    return any(used > capacity for used, capacity in pairs)
+
+
 def starts_valid_until(state, worker) -> int:
     """Returns until when a start that is ordered now may be sent."""
     valid_until = leadership.orders_valid_until(state)
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -403,12 +403,25 @@
         if not worker.is_responsive(state.now):
             continue
         if task.status == state_lib.STARTING:
-            if may_start_more(leader):
-                _send_start(state, effects, task, worker)
+            _repeat_start(state, effects, task, worker)
         elif not task.confirmed_at:
             _send_stop(state, effects, task)
 
 
+def _repeat_start(state, effects, task, worker):
+    if not may_start_more(state.leader):
+        return
+    enforced = capacity.is_enforced(state, worker.entry.service)
+    if not enforced and not capacity.is_current(state, worker):
+        return
+    if not enforced and capacity.is_exceeded(worker):
+        # An earlier order may have been executed. After a stop the worker
+        # rejects the attempt.
+        stop(state, effects, task, "the worker has shrunk")
+        return
+    _send_start(state, effects, task, worker)
+
+
 HANDLERS = {
     events.OrderAnswered: _on_answer,
     events.Tick: _on_tick,
--- a/tests/scheduler/test_capacity.py
+++ b/tests/scheduler/test_capacity.py
@@ -159,6 +159,24 @@
         sim.run(3_000)
         assert not sim.find_problems()
 
+    def test_repeated_start_order(self, deployment):
+        """Guards against a start order that is repeated after the worker has
+        shrunk."""
+        sim = deployment(workers=1, configuration=UNGUARDED)
+        worker = sim.workers["w0"]
+        worker.lost_starts = 9
+        sim.submit(1, lasting(cpu=9_000))
+        sim.run(200)
+        worker.resize(cpu=8_000)
+        sim.after(fakes.HEARTBEAT_MS, worker.publish)
+        sim.run(9_000)
+        assert not sim.find_problems()
+        worker.lost_starts = 0
+        worker.resize(cpu=16_000)
+        worker.publish()
+        sim.run(3_000)
+        assert len(sim.running(1)) == 1
+
     def test_starts_resume_after_an_outage(self, deployment):
         """Guards against workers that get no tasks after an outage of the
         store."""
