Start no best-effort task where others exceed the CPU

Seen: a worker shrank below the CPU that its tasks reserve, and a best-effort task was started there.

Cause: best-effort tasks reserve no CPU, so nothing compared what the others reserve with the worker's CPU. Whether such a start counts as one above the capacity is open; it only adds load to a worker that has none left.

Tests: test_best_effort_task_on_a_worker_above_its_cpu failed before with "w0 holds [10000, 200, 0] of [8000, 64000, 0] at 9017"; now it passes, and the task starts once the worker has grown.

--- a/packages/core/src/skylarklug/scheduler/scoring.py
+++ b/packages/core/src/skylarklug/scheduler/scoring.py
@@ -63,6 +63,8 @@
     if used[2] + need.accelerators > capacity.accelerators:
         return False
     if step.best_effort:
+        if used[0] > capacity.cpu:
+            return False
         memory = capacity.memory_mb - used[1] - need.memory_mb
         return memory >= MEMORY_RESERVE_SHARE * capacity.memory_mb
     return used[0] + need.cpu <= capacity.cpu
--- a/tests/scheduler/test_capacity.py
+++ b/tests/scheduler/test_capacity.py
@@ -188,3 +188,22 @@
         sim.store.modes.clear()
         sim.run(4_500)
         assert len(sim.starts) == 2
+
+
+class TestShrunkWorkers:
+    def test_best_effort_task_on_a_worker_above_its_cpu(self, deployment):
+        """Guards against a start on a worker whose tasks already exceed what is
+        left of its CPU."""
+        sim = deployment(workers=1)
+        sim.submit(1, lasting(cpu=10_000))
+        sim.run(1_000)
+        sim.workers["w0"].resize(cpu=8_000)
+        sim.workers["w0"].publish()
+        sim.run(5_000)
+        sim.submit(2, fakes.step(cpu=500, best_effort=True, image="b"))
+        sim.run(3_000)
+        assert not sim.find_problems()
+        sim.workers["w0"].resize(cpu=12_000)
+        sim.workers["w0"].publish()
+        sim.run(2_000)
+        assert sim.state_of(2) == "done"
