Preempt only what lets the waiting task start

Seen: a worker's memory shrank, and a long-running task was stopped for a short one that then still did not fit.

Cause: the choice of the task to stop only looked at CPU.

Change: what is freed must cover the memory and accelerators that are missing too. While no CPU is missing, nothing is stopped, as before.

Tests: test_preemption_that_does_not_free_enough_memory failed before with "assert 3 == 4" (running long-running tasks); now it passes. test_preemption_that_frees_enough passes before and after.

--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -52,6 +52,13 @@
     worker.used[2] -= need.accelerators
 
 
+def counted_resources(step) -> records.Resources:
+    """Returns what a task counts on a worker; best-effort CPU is not."""
+    if step.best_effort:
+        return step.resources._replace(cpu=0)
+    return step.resources
+
+
 def count_unwanted_runs(leader, worker, keys):
     """Counts runs that no task here has, until they are not listed any more.
 
@@ -67,10 +74,7 @@
         if job is None or key.step >= len(job.spec.steps):
             worker.has_unknown_run = True
             continue
-        step = job.spec.steps[key.step]
-        need = step.resources
-        if step.best_effort:
-            need = need._replace(cpu=0)
+        need = counted_resources(job.spec.steps[key.step])
         worker.unwanted_runs.append(need)
         for index, amount in enumerate(need):
             worker.used[index] += amount
--- a/packages/core/src/skylarklug/scheduler/preemption.py
+++ b/packages/core/src/skylarklug/scheduler/preemption.py
@@ -50,24 +50,15 @@
     chosen = None
     priority = jobs.priority_of(state, task.job)
     for worker in candidates:
-        missing_cpu = task.step.resources.cpu
-        missing_cpu -= worker.entry.capacity.cpu - worker.used[0]
-        for other in worker.runs.values():
-            if (
-                other.status == state_lib.STOPPING
-                and not other.step.best_effort
-            ):
-                missing_cpu -= other.step.resources.cpu
-        for need in worker.unwanted_runs:
-            missing_cpu -= need.cpu
-        if missing_cpu <= 0:
+        missing = _missing_resources(worker, task)
+        if missing[0] <= 0:
             # A stop in progress already frees enough CPU.
             return None
         for other in worker.runs.values():
-            if (
-                not _is_preemptible(other)
-                or other.step.resources.cpu < missing_cpu
-            ):
+            if not _is_preemptible(other):
+                continue
+            pairs = zip(other.step.resources, missing, strict=True)
+            if any(freed < needed for freed, needed in pairs):
                 continue
             if jobs.priority_of(state, other.job) < priority:
                 continue
@@ -81,6 +72,22 @@
     return chosen
 
 
+def _missing_resources(worker, task):
+    """Returns what a task lacks on a worker after the stops in progress."""
+    missing = []
+    for index, need in enumerate(task.step.resources):
+        free = worker.entry.capacity[index] - worker.used[index]
+        missing.append(need - free)
+    stopping = list(worker.unwanted_runs)
+    for other in worker.runs.values():
+        if other.status == state_lib.STOPPING:
+            stopping.append(orders.counted_resources(other.step))
+    for need in stopping:
+        for index, amount in enumerate(need):
+            missing[index] -= amount
+    return missing
+
+
 def _is_preemptible(task):
     step = task.step
     if not step.runs_until_cancelled or step.best_effort or step.gang:
--- a/tests/scheduler/test_capacity.py
+++ b/tests/scheduler/test_capacity.py
@@ -207,3 +207,28 @@
         sim.workers["w0"].publish()
         sim.run(2_000)
         assert sim.state_of(2) == "done"
+
+    def test_preemption_that_does_not_free_enough_memory(self, deployment):
+        """Guards against stopping a long-running task for a short one that
+        still does not fit."""
+        sim = deployment(workers=1)
+        sim.submit(1, lasting(4, cpu=4_000, memory_mb=15_000))
+        sim.run(1_000)
+        sim.workers["w0"].resize(memory_mb=30_000)
+        sim.workers["w0"].publish()
+        sim.run(500)
+        short = fakes.step(cpu=2_000, memory_mb=10_000, estimate_ms=5_000)
+        sim.submit(2, short)
+        sim.run(3_000)
+        assert len(sim.running(1)) == 4
+
+    def test_preemption_that_frees_enough(self, deployment):
+        """Guards against a short task that waits although a long-running one
+        could make room for it."""
+        sim = deployment(workers=1)
+        sim.submit(1, lasting(4, cpu=4_000, memory_mb=15_000))
+        sim.run(1_000)
+        short = fakes.step(cpu=2_000, memory_mb=10_000, estimate_ms=5_000)
+        sim.submit(2, short)
+        sim.run(3_000)
+        assert sim.state_of(2) == "done"
