Test starts under random faults and changes of capacities

Thirty seeds with workers that shrink and grow, takeovers, outages of the store, hanging feeds and lost answers. No start may exceed what a worker offers, and all jobs must finish after the faults.

--- a/tests/scheduler/test_capacity.py
+++ b/tests/scheduler/test_capacity.py
@@ -4,6 +4,9 @@
 records each start above what a worker offers.
 """
 
+import random
+
+import pytest
 import scheduler_fakes as fakes
 
 # The workers may be told to start more than fits.
@@ -232,3 +235,86 @@
         sim.submit(2, short)
         sim.run(3_000)
         assert sim.state_of(2) == "done"
+
+
+class TestRandomCapacities:
+    @pytest.mark.parametrize("seed", range(30))
+    def test_no_start_exceeds_a_capacity(self, seed):
+        """Guards against combinations of faults and changes of capacities that
+        the other tests miss, and against jobs that wait for ever."""
+        rng = random.Random(seed)
+        sim = fakes.Sim(nodes=4, workers=4, configuration=UNGUARDED)
+        sim.run(2_000)
+        accepted = {}
+        for number in range(1, 40):
+            resources = {
+                "cpu": rng.choice([1_000, 3_000, 6_000]),
+                "memory_mb": rng.choice([500, 9_000, 20_000]),
+            }
+            kind = rng.randrange(4)
+            if kind == 0:
+                step = lasting(rng.randint(1, 3), **resources)
+            elif kind == 1:
+                step = fakes.step(best_effort=True, image="b", **resources)
+            else:
+                step = fakes.step(
+                    rng.randint(1, 5), gang=kind == 3, **resources
+                )
+            node = rng.choice(sorted(sim.nodes))
+            accepted[number] = sim.submit(number, step, node=node)
+            if rng.random() < 0.3:
+                cancelled = rng.randint(1, number)
+                sim.cancel(cancelled)
+                accepted.pop(cancelled, None)
+            self.inject_fault(sim, rng)
+            sim.run(rng.randint(100, 1_500))
+        self.end_faults(sim)
+        for worker in sim.workers.values():
+            worker.resize(cpu=64_000, memory_mb=640_000)
+            worker.publish()
+        sim.run(25_000)
+        assert not sim.find_problems()
+        for number, req in accepted.items():
+            step = sim.specs[fakes.job_id(number)].steps[0]
+            if sim.status(req) != 200:
+                continue
+            if step.runs_until_cancelled:
+                assert len(sim.running(number)) == step.count, number
+            else:
+                assert sim.state_of(number) == "done", number
+
+    def end_faults(self, sim):
+        sim.store.modes.clear()
+        sim.store.refuses_workers = False
+        sim.cut_links.clear()
+        for node in sim.nodes.values():
+            node.hung_tables.clear()
+
+    def inject_fault(self, sim, rng):
+        worker = rng.choice(list(sim.workers.values()))
+        name = rng.choice(sorted(sim.nodes))
+        fault = rng.randrange(10)
+        if fault < 4:
+            worker.resize(
+                cpu=rng.choice([2_000, 8_000, 16_000]),
+                memory_mb=rng.choice([10_000, 30_000, 64_000]),
+            )
+            sim.after(rng.randrange(fakes.HEARTBEAT_MS), worker.publish)
+        elif fault == 4:
+            sim.kill(name)
+            added = sim.add_node(f"m{next(sim.sequence)}")
+            if sim.store.refuses_workers:
+                sim.store.modes[added.name] = "refuse"
+        elif fault == 5 and not sim.store.refuses_workers:
+            sim.store.modes[name] = rng.choice(["silent", "refuse", "lose"])
+        elif fault == 6:
+            modes = dict.fromkeys(sim.nodes, "refuse")
+            sim.store.modes.update(modes)
+            sim.store.refuses_workers = True
+        elif fault == 7:
+            self.end_faults(sim)
+        elif fault == 8:
+            sim.cut_links.add((name, worker.name))
+            worker.unanswered_starts = 2
+        else:
+            sim.nodes[name].hung_tables.add("workers")
