Acknowledge no end to a worker that may have restarted

Seen: a worker restarted under its name while a poll was in flight, ran a short task and reported its end as number 1; the next poll, which still acknowledged the numbers from before the restart, made it forget that end, and the task was started again.

Cause: until an answer shows the restart, polls carry the acknowledged number of the former incarnation. A worker numbers its ends anew.

Change: a poll that follows a failed one acknowledges nothing. A restart breaks the poll in flight, and the ends that are listed twice are told apart by their numbers, as before.

--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -152,7 +152,9 @@
             worker.name,
             worker.entry.address,
             state.leader.epoch,
-            worker.acknowledged,
+            # A worker that has not answered may have restarted, and then
+            # numbers its ends anew.
+            0 if worker.failed_polls else worker.acknowledged,
             lease_until,
             wait_ms,
             timeout_ms,
--- a/tests/scheduler/test_faults.py
+++ b/tests/scheduler/test_faults.py
@@ -297,6 +297,27 @@
         assert not sim.find_problems()
         assert len(sim.starts) == 10
 
+    def test_end_after_a_restart_is_not_acknowledged_unseen(self, deployment):
+        """Guards against a second run of a task whose end the worker has
+        forgotten, because a poll acknowledged an end with the same number from
+        before the worker restarted."""
+        sim = deployment(workers=1)
+        worker = sim.workers["w0"]
+        worker.run_ms = 100
+        sim.submit(1, fakes.step(3))
+        sim.run(2_000)
+        worker.poll_delay_ms = 5_000
+        sim.run(300)
+        worker.crash(incarnation=2)
+        sim.submit(2, fakes.step(2))
+        sim.run(1_000)
+        assert len(worker.ends) == 2
+        worker.poll_delay_ms = 0
+        sim.run(4_000)
+        assert not sim.find_problems()
+        assert sim.state_of(2) == "done"
+        assert len(sim.starts) == 5
+
     def test_draining_worker_is_drained(self, deployment):
         """Guards against tasks that are lost when a draining worker leaves."""
         sim = deployment()
