Merge the guard of workers whose capacity shrinks

Change: the simulated worker has one count of resources for its own check and for that of the invariants.

--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -1,5 +1,6 @@
 """Orders to workers (start, stop and pace) and their answers."""
 
+from skylarklug.scheduler import capacity
 from skylarklug.scheduler import crashes
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
@@ -52,6 +53,34 @@
     worker.used[2] -= need.accelerators
 
 
+def counted_resources(step) -> records.Resources:
+    """Returns what a task counts on a worker; best-effort CPU is not."""
+    if step.best_effort:
+        return step.resources._replace(cpu=0)
+    return step.resources
+
+
+def count_unwanted_runs(leader, worker, keys):
+    """Counts runs that no task here has, until they are not listed any more.
+
+    A run uses its resources until it has stopped, whoever started it.
+    """
+    for need in worker.unwanted_runs:
+        for index, amount in enumerate(need):
+            worker.used[index] -= amount
+    worker.unwanted_runs = []
+    worker.has_unknown_run = False
+    for key in keys:
+        job = leader.jobs.get(key.job)
+        if job is None or key.step >= len(job.spec.steps):
+            worker.has_unknown_run = True
+            continue
+        need = counted_resources(job.spec.steps[key.step])
+        worker.unwanted_runs.append(need)
+        for index, amount in enumerate(need):
+            worker.used[index] += amount
+
+
 def may_start_more(leader) -> bool:
     """Returns whether another start order may be sent now."""
     return leader.starts_in_flight < MAX_STARTS_IN_FLIGHT
@@ -119,7 +148,7 @@
             task.ticket,
             worker.clock_now(state.now) + state.cfg.max_lease_ms,
             ORDER_TIMEOUT_MS,
-            leadership.orders_valid_until(state),
+            capacity.starts_valid_until(state, worker),
         )
     )
 
@@ -381,12 +410,25 @@
         if not worker.is_responsive(state.now):
             continue
         if task.status == state_lib.STARTING:
-            if may_start_more(leader):
-                _send_start(state, effects, task, worker)
+            _repeat_start(state, effects, task, worker)
         elif not task.confirmed_at:
             _send_stop(state, effects, task)
 
 
+def _repeat_start(state, effects, task, worker):
+    if not may_start_more(state.leader):
+        return
+    enforced = capacity.is_enforced(state, worker.entry.service)
+    if not enforced and not capacity.is_current(state, worker):
+        return
+    if not enforced and capacity.is_exceeded(worker):
+        # An earlier order may have been executed. After a stop the worker
+        # rejects the attempt.
+        stop(state, effects, task, "the worker has shrunk")
+        return
+    _send_start(state, effects, task, worker)
+
+
 HANDLERS = {
     events.OrderAnswered: _on_answer,
     events.Tick: _on_tick,
--- a/packages/core/src/skylarklug/scheduler/scoring.py
+++ b/packages/core/src/skylarklug/scheduler/scoring.py
@@ -54,6 +54,8 @@
 
 def fits(worker, step) -> bool:
     """Returns whether a worker has the resources that a task requests."""
+    if worker.has_unknown_run:
+        return False
     need = step.resources
     capacity = worker.entry.capacity
     used = worker.used
@@ -62,6 +64,8 @@
     if used[2] + need.accelerators > capacity.accelerators:
         return False
     if step.best_effort:
+        if used[0] > capacity.cpu:
+            return False
         memory = capacity.memory_mb - used[1] - need.memory_mb
         return memory >= MEMORY_RESERVE_SHARE * capacity.memory_mb
     return used[0] + need.cpu <= capacity.cpu
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -204,7 +204,11 @@
         incarnation: Number of its latest known start.
         clock: (worker's clock ms, our clock ms) at its latest answer.
         runs: Tasks that run or may run there, by key.
-        used: [CPU, memory, accelerators] that those tasks reserve.
+        used: [CPU, memory, accelerators] that those tasks reserve and that
+            `unwanted_runs` use.
+        unwanted_runs: Resources of the runs that it listed last although no
+            task here has them; they are being stopped.
+        has_unknown_run: Whether the resources of one of those are unknown.
         allowed_shares: Share of its CPU that best-effort tasks may use now, by
             image.
         recently_ended: Best-effort tasks that ended recently, as (image, CPU,
@@ -252,6 +256,8 @@
         "change_sequence",
         "runs",
         "unsaved_ends",
+        "unwanted_runs",
+        "has_unknown_run",
         "used",
     )
 
@@ -264,6 +270,8 @@
         self.clock = (0, 0)
         self.runs: dict[records.TaskKey, Task] = {}
         self.used = [0, 0, 0]
+        self.unwanted_runs: list[records.Resources] = []
+        self.has_unknown_run = False
         self.allowed_shares: dict[str, float] = {}
         self.recently_ended: list[tuple[str, float, int]] = []
         self.acknowledged = 0
@@ -341,6 +349,8 @@
         successor: Node on a larger VM that asks to take over; empty for none.
         successor_capacity: Capacity of that VM, in cores.
         starts_in_flight: Start orders that are not answered yet.
+        entries_answered_at: When worker entries were last received.
+        entries_read_at: The received entries are at least as recent as this.
     """
 
     def __init__(self, epoch: int, owner_version: int, now: int):
@@ -351,6 +361,8 @@
         self.successor = ""
         self.successor_capacity = 0.0
         self.starts_in_flight = 0
+        self.entries_answered_at = now
+        self.entries_read_at = now
         self.settled_at = 0
         self.settled = False
         self.loaded: set[str] = set()
@@ -422,6 +434,10 @@
         self.leadership_read_at = -1
         # Since when the store has not served this node; 0 while it does.
         self.store_lost_at = 0
+        # When the store last served this node, and when it last did so after
+        # a time in which it may have been away.
+        self.store_served_at = 0
+        self.store_returned_at = 0
         # Latest known state by job, oldest first.
         self.known_states: dict[str, str] = {}
         self.heartbeat: Any = {}
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -1,5 +1,6 @@
 """Tracks workers on their leader: registration, polls, leases and runs."""
 
+from skylarklug.scheduler import capacity
 from skylarklug.scheduler import crashes
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import ends
@@ -49,6 +50,7 @@
     leader = state.leader
     if leader is None:
         return
+    capacity.record_entries_read(state)
     present = set()
     for entry in event.entries:
         present.add(entry.worker)
@@ -178,7 +180,9 @@
             worker.name,
             worker.entry.address,
             state.leader.epoch,
-            worker.acknowledged,
+            # A worker that has not answered may have restarted, and then
+            # numbers its ends anew.
+            0 if worker.failed_polls else worker.acknowledged,
             lease_until,
             wait_ms,
             timeout_ms,
@@ -251,17 +255,21 @@
 def _reconcile(state, effects, worker, event):
     """Reconciles the runs that a worker reports with the leader's state."""
     listed = set()
+    unwanted = []
     for report in event.running:
         task = worker.runs.get(report.key)
         if task is None or task.attempt != report.attempt:
             if _adopt_run(state, effects, worker, report):
                 listed.add(report.key)
+            else:
+                unwanted.append(report.key)
             continue
         listed.add(report.key)
         _update_run(state, task, report)
         task.listed_at = event.sent_at
         for job in crashes.forget(task):
             jobs.mark_dirty(state.leader, job)
+    orders.count_unwanted_runs(state.leader, worker, unwanted)
     for key, task in list(worker.runs.items()):
         if key in listed:
             task.missed_polls = 0
@@ -315,7 +323,7 @@
             # rejects it after a stop.
             orders.stop(state, effects, task, "worker restarted")
         return
-    if worker.restarted:
+    if worker.restarted and sent_at >= task.confirmed_at:
         _mark_run_lost(state, effects, worker, task, "reborn")
         return
     if not task.confirmed_at or sent_at < task.confirmed_at:
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -26,6 +26,10 @@
 STOP_DURATION_MS = 200
 # Time for which a member of a gang waits for the others.
 GANG_TIMEOUT_MS = 4_000
+# Interval at which a worker publishes its entry.
+HEARTBEAT_MS = 1_500
+# A node has to notice a smaller capacity this long after it was published.
+CONTACT_MS = 3_000
 # Wall-clock time in ms at the virtual time 0.
 WALL_OFFSET = 1_700_000_000_000
 SERVICE = "hub"
@@ -75,6 +79,8 @@
         # Additional duration of each transaction.
         self.slow_ms = 0
         self.late_ms = 3_000
+        # Whether it refuses the entries of workers.
+        self.refuses_workers = False
         self.commits = []
 
     def commit(self, node, effect):
@@ -129,20 +135,29 @@
 
 
 class Worker:
-    """A worker with a lease, a fencing epoch, runs and ends of runs."""
+    """A worker with a lease, a fencing epoch, runs and ends of runs.
+
+    It starts whatever it is told to, even above its capacity.
+    """
 
     def __init__(
         self, sim, name, cpu=16_000, labels=("a", "r1"), incarnation=1
     ):
         self.sim = sim
         self.name = name
-        self.cpu = cpu
+        self.capacity = records.Resources(cpu, 64_000, 0)
+        # Capacities of this incarnation, as (since when, capacity).
+        self.capacities = []
+        # Capacity and incarnation in its entry.
+        self.published = (self.capacity, incarnation)
         self.labels = labels
         self.draining = False
         self.run_ms = 500
         self.fail = set()
         # Whether it rejects a start that exceeds its capacity.
         self.enforces_capacity = False
+        # Number of starts to lose.
+        self.lost_starts = 0
         # Number of starts to execute without sending an answer.
         self.unanswered_starts = 0
         # Delays of the next calls that get no answer and are executed late, by
@@ -163,8 +178,45 @@
         self.rejected_up_to = {}
         # Numbers of ends after which the lease has lapsed.
         self.lapsed_ends = set()
+        self.capacities = [(self.sim.now, self.capacity)]
+
+    @property
+    def cpu(self):
+        return self.capacity.cpu
+
+    @cpu.setter
+    def cpu(self, cpu):
+        self.resize(cpu=cpu)
+        self.published = (self.capacity, self.incarnation)
+
+    def resize(self, **fields):
+        """Changes the capacity; the entry does not show it yet."""
+        self.capacity = self.capacity._replace(**fields)
+        self.capacities.append((self.sim.now, self.capacity))
+
+    def publish(self):
+        """Publishes the entry, as soon as the store accepts it."""
+        if self.sim.store.refuses_workers:
+            self.sim.after(HEARTBEAT_MS, self.publish)
+            return
+        self.published = (self.capacity, self.incarnation)
+        self.sim.publish_entry(self)
+
+    def capacity_limit(self):
+        """Returns the most that any start may use now.
+
+        A smaller capacity counts once the nodes have had time to notice it.
+        """
+        since = self.sim.now - CONTACT_MS - HEARTBEAT_MS
+        counted = []
+        for number, (_, capacity) in enumerate(self.capacities):
+            later = self.capacities[number + 1 :]
+            if not later or later[0][0] > since:
+                counted.append(capacity)
+        return [max(amounts) for amounts in zip(*counted, strict=True)]
 
     def entry(self):
+        capacity, incarnation = self.published
         return records.WorkerEntry(
             worker=self.name,
             service=SERVICE,
@@ -172,10 +224,10 @@
             zone="z1",
             draining=self.draining,
             remaining_ms=-1,
-            capacity=records.Resources(self.cpu, 64_000, 0),
+            capacity=capacity,
             labels=self.labels,
             rack=self.labels[-1],
-            incarnation=self.incarnation,
+            incarnation=incarnation,
         )
 
     def expire(self):
@@ -296,12 +348,16 @@
         return "ok", ""
 
     def has_room(self, key):
-        return self.used_with(key) <= self.cpu
+        pairs = zip(self.used_with(key), self.capacity, strict=True)
+        return all(used <= capacity for used, capacity in pairs)
 
     def used_with(self, key):
-        """Returns the CPU in use once this task runs too."""
-        keys = [key, *self.runs]
-        return sum(self.sim.step_of(k).resources.cpu for k in keys)
+        """Returns the resources in use once this task runs too."""
+        used = list(self.sim.counted_resources(key))
+        for other in self.runs:
+            for index, amount in enumerate(self.sim.counted_resources(other)):
+                used[index] += amount
+        return used
 
     def stop(self, effect):
         if effect.epoch < self.fence:
@@ -352,6 +408,8 @@
         self.paused_events = None
         self.watched = {}
         self.missed = set()
+        # Tables whose reads get no answer.
+        self.hung_tables = set()
         self.logs = []
         self.ready = False
 
@@ -359,8 +417,9 @@
 class Sim:
     """The simulation. All times are in virtual milliseconds."""
 
-    def __init__(self, nodes=3, workers=4):
+    def __init__(self, nodes=3, workers=4, configuration=CONFIGURATION):
         self.now = 1_000
+        self.configuration = configuration
         self.queue = []
         self.sequence = itertools.count()
         self.incarnations = itertools.count(1)
@@ -422,7 +481,7 @@
         self.deliver(
             node,
             STORE_DELAY_MS,
-            lambda at: events.ConfigurationRead(at, CONFIGURATION),
+            lambda at: events.ConfigurationRead(at, self.configuration),
         )
         self.tick(node)
         self.poll_watches(node)
@@ -537,7 +596,7 @@
         def read():
             if node.watched.get(table) is not watch_id:
                 return
-            if not self.store.is_readable(node):
+            if not self.serves(node, table):
                 node.missed.add(table)
                 return
             if table == "workers":
@@ -560,12 +619,17 @@
         reachable = self.store.is_readable(node)
         if reachable and node.paused_events is None:
             for table in sorted(node.watched):
+                if table in node.hung_tables:
+                    continue
                 if table in node.missed:
                     self.watch_table(node, table)
-                elif table != "workers":
+                elif table == "workers":
+                    event = events.WorkersChanged(self.now, False, (), ())
+                    self.dispatch(node, event)
+                else:
                     event = events.RowsChanged(self.now, table, False, ())
                     self.dispatch(node, event)
-            node.missed.clear()
+            node.missed &= node.hung_tables
         elif node.paused_events is None:
             for table in sorted(node.watched):
                 self.dispatch(node, events.FeedFailed(self.now, table))
@@ -589,8 +653,35 @@
                     ),
                 )
 
+    def publish_entry(self, worker):
+        """Sends a changed worker entry to the nodes that read the table.
+
+        A process that is suspended reads the table when it resumes.
+        """
+        entries = (worker.entry(),)
+        for node in self.nodes.values():
+            if "workers" not in node.watched:
+                continue
+            suspended = node.paused_events is not None
+            if suspended or not self.serves(node, "workers"):
+                node.missed.add("workers")
+                continue
+            self.deliver(
+                node,
+                STORE_DELAY_MS,
+                lambda at: events.WorkersChanged(at, False, entries, ()),
+            )
+
+    def serves(self, node, table):
+        """Returns whether the store answers a node that reads a table."""
+        if table in node.hung_tables:
+            return False
+        return self.store.is_readable(node)
+
     def publish_workers(self):
         """Sends the current worker entries to all nodes."""
+        for worker in self.workers.values():
+            worker.published = (worker.capacity, worker.incarnation)
         entries = tuple(w.entry() for w in self.workers.values())
         for node in self.nodes.values():
             if not self.store.is_readable(node):
@@ -681,6 +772,8 @@
             if worker.late_calls.get(op):
                 delay = worker.late_calls[op].pop(0)
                 self.execute_late(worker, op, effect, delay)
+            if op == "start" and worker.lost_starts:
+                worker.lost_starts -= 1
                 answer(effect.timeout_ms, "unknown", "silent")
                 return
             if op == "start" and worker.unanswered_starts:
@@ -912,8 +1005,18 @@
             if len(done) < spec.steps[dependency].count:
                 self.problems.append(f"{key} before step {dependency}")
         used = worker.used_with(key)
-        if used > worker.cpu:
-            self.problems.append(f"{worker.name} holds {used} at {self.now}")
+        limit = worker.capacity_limit()
+        if any(a > b for a, b in zip(used, limit, strict=True)):
+            self.problems.append(
+                f"{worker.name} holds {used} of {limit} at {self.now}"
+            )
+
+    def counted_resources(self, key):
+        """Returns what a run uses; the CPU of best-effort runs is free."""
+        step = self.specs[key.job].steps[key.step]
+        if step.best_effort:
+            return step.resources._replace(cpu=0)
+        return step.resources
 
     def find_problems(self):
         """Returns all violations of invariants so far."""
