Let only heartbeats extend the permission to send orders

Cause: each commit of a leader extended its permission by 6 s, but other nodes claim 2.4 s after the last heartbeat that they saw, and wait 3.6 s longer than a lease for it. A leader whose heartbeats failed while its other commits succeeded sent orders, and renewed leases, for up to 2.4 s longer than the next leader waited. Orders to the machine API had the same flaw. Change: the permission counts from the latest successful heartbeat, or claim. Other commits still prove that leases have ended.

--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -17,7 +17,8 @@
 HEARTBEAT_INTERVAL_MS = 700
 # Three heartbeat intervals plus the time of one slow store call.
 TAKEOVER_TIMEOUT_MS = 2_400
-# A leader whose commits get no answer keeps sending orders for this long.
+# A leader whose heartbeats get no answer keeps sending orders for this long.
+# Other commits do not count: only heartbeats delay the claims of other nodes.
 # With the last leases that it grants, tasks survive a store outage of about
 # ten seconds.
 MAX_UNCONFIRMED_MS = 6_000
@@ -58,12 +59,12 @@
     leader = state.leader
     if leader is None:
         return False
-    return state.now - leader.confirmed_at < MAX_UNCONFIRMED_MS
+    return state.now - leader.heartbeat_at < MAX_UNCONFIRMED_MS
 
 
 def orders_valid_until(state) -> int:
     """Returns until when the orders that this leader sends now are allowed."""
-    return state.leader.confirmed_at + MAX_UNCONFIRMED_MS
+    return state.leader.heartbeat_at + MAX_UNCONFIRMED_MS
 
 
 def machine_orders_valid_until(state) -> int:
@@ -78,7 +79,7 @@
     if leader.epoch > 1:
         if state.now < leader.since + state.cfg.machine_lease_ms:
             return 0
-    return leader.confirmed_at + TAKEOVER_TIMEOUT_MS
+    return leader.heartbeat_at + TAKEOVER_TIMEOUT_MS
 
 
 def owner_check(leader) -> fx.Check:
@@ -386,6 +387,7 @@
         leader.heartbeat_pending = False
         if answer.status == "ok":
             record_commit(state, answer)
+            leader.heartbeat_at = max(leader.heartbeat_at, answer.sent_at)
             leader.heartbeat_due_at = answer.sent_at + HEARTBEAT_INTERVAL_MS
             return
         leader.heartbeat_due_at = state.now + HEARTBEAT_RETRY_MS
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -385,14 +385,14 @@
 
 
 def suspend_orders(state, effects, worker):
-    """Stops sending orders until a commit confirms that this node leads.
+    """Stops sending orders until a heartbeat confirms that this node leads.
 
     Called when a worker or the platform rejects this epoch as outdated.
     """
     leader = state.leader
     fields = {"worker": worker, "epoch": leader.epoch}
     effects.append(fx.Log("warning", "fenced", fields))
-    leader.confirmed_at = state.now - leadership.MAX_UNCONFIRMED_MS
+    leader.heartbeat_at = state.now - leadership.MAX_UNCONFIRMED_MS
     leader.heartbeat_due_at = 0
 
 
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -313,6 +313,8 @@
         owner_version: Version of the `owner` row, checked by each commit.
         since: When the claim of the leadership was sent.
         confirmed_at: When the latest successful commit was sent.
+        heartbeat_at: When the latest successful heartbeat, or the claim, was
+            sent.
         settled_at: When leases of all runs of former leaders have expired.
         settled: Whether no unknown run of a former leader can exist.
         loaded: Tables that have been read completely.
@@ -358,6 +360,7 @@
         self.owner_version = owner_version
         self.since = now
         self.confirmed_at = now
+        self.heartbeat_at = now
         self.successor = ""
         self.successor_capacity = 0.0
         self.starts_in_flight = 0
