Claim only after the latest heartbeat of the leader

Cause: a node claims 2.4 s after the last heartbeat that it saw. If its feed stood still meanwhile, the leader had sent later ones, and its permission and leases lasted longer than the new leader waited. Change: the claim also checks the version of the heartbeat row, so it fails if a heartbeat was stored that this node has not read. Evidence: the new test fails without the change (a task twice).

--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -290,7 +290,12 @@
     store.commit(
         state,
         effects,
-        [fx.Check(TABLE, OWNER, state.owner_version)],
+        [
+            fx.Check(TABLE, OWNER, state.owner_version),
+            # Fails if the leader has sent a heartbeat that has not arrived
+            # here yet.
+            fx.Check(TABLE, HEARTBEAT, state.heartbeat_version),
+        ],
         [fx.Write(TABLE, OWNER, value)],
         on_answer,
     )
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -645,6 +645,9 @@
                 if row.table in node.watched:
                     by_table.setdefault(row.table, []).append(row)
             for table, rows in by_table.items():
+                if table in node.hung_tables:
+                    node.missed.add(table)
+                    continue
                 self.deliver(
                     node,
                     STORE_DELAY_MS,
--- a/tests/scheduler/test_leadership.py
+++ b/tests/scheduler/test_leadership.py
@@ -328,6 +328,29 @@
         assert not sim.find_problems()
         assert len(sim.running(1)) == 1
 
+    def test_claim_fails_while_heartbeats_arrive_late(self, deployment):
+        """Guards against a second run of a task that a leader keeps running,
+        whose latest heartbeats have not reached the node that claims."""
+        sim = deployment(nodes=2, workers=3)
+        former, _ = self.cut_off_leader(sim)
+        del sim.store.modes[former.name]
+        (other,) = (n for n in sim.nodes.values() if n is not former)
+        while (
+            other.state.leadership_read_at < other.state.owner_updated_at + 300
+        ):
+            sim.run(1)
+        other.hung_tables.add("leadership")
+        for _ in range(4_000):
+            if other.state.claiming:
+                break
+            sim.run(1)
+        sim.store.modes[former.name] = "silent"
+        sim.run(1_500)
+        other.hung_tables.clear()
+        sim.run(20_000)
+        assert not sim.find_problems()
+        assert len(sim.running(1)) == 1
+
     def test_restart_of_a_settled_leader_adds_no_wait(self, deployment):
         """Guards against a longer wait for leases that nobody can have
         renewed since the leader restarted."""
