Acknowledge an end only when the failure of its job is saved

Cause: ends of a job that had failed, or been cancelled, in memory were acknowledged at once. If the leader ended before it had saved that state, the next one read a running job and started the task again. Change: while the row of the job is due or in flight, its ends wait for that commit, as ends of running jobs do.

--- a/packages/core/src/skylarklug/scheduler/ends.py
+++ b/packages/core/src/skylarklug/scheduler/ends.py
@@ -39,7 +39,7 @@
     }
     effects.append(fx.Log("info", "end", fields))
     if task is None:
-        return ""
+        return _unsaved_job(leader, job)
     is_current = task.worker == worker.name and task.attempt == report.attempt
     if report.checkpoint and (is_current or not task.worker):
         task.checkpoint = report.checkpoint
@@ -52,6 +52,18 @@
     return ""
 
 
+def _unsaved_job(leader, job):
+    """Returns the job if its row is not committed yet, or "".
+
+    A new leader that reads the former row would start the task again, so the
+    worker must still report the end then.
+    """
+    if job is None:
+        return ""
+    name = job.spec.job
+    return name if name in leader.dirty or name in leader.saving else ""
+
+
 def _handle_done(state, effects, worker, task, is_current):
     worker.recent_failures.clear()
     if is_current:
@@ -66,7 +78,7 @@
         if is_current:
             jobs.remove_task(job, task)
             jobs.remove_closed(state, job)
-        return ""
+        return _unsaved_job(state.leader, job)
     if task.step.gang:
         for member in gangs.members(task):
             jobs.finish_task(state, effects, member)
@@ -86,7 +98,7 @@
             )
             task.failures.add(report.attempt)
             _requeue(state, effects, worker, task, restart_delay_ms, "failed")
-        return ""
+        return _unsaved_job(state.leader, job)
     if report.attempt not in task.failures:
         task.failures.add(report.attempt)
         if task.step.gang:
