--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -1053,6 +1053,17 @@
                 found.append(f"{key} beyond its budget at {at}")
         return found
 
+    def has_crashed_two_workers(self, number):
+        """Returns whether two workers have crashed under a task of a job.
+
+        Such a job may be given up.
+        """
+        crashes = {}
+        for key, attempt, _, _, outcome in self.history:
+            if outcome == "crashed" and key.job == job_id(number):
+                crashes.setdefault(key, set()).add(attempt)
+        return any(len(attempts) >= 2 for attempts in crashes.values())
+
     def running(self, number):
         """Returns (key, worker) of all current runs of a job."""
         job = job_id(number)
--- a/tests/scheduler/test_random_faults.py
+++ b/tests/scheduler/test_random_faults.py
@@ -326,6 +326,8 @@
 
     def find_problems_of_job(self, number, state):
         job = fakes.job_id(number)
+        if state == "failed" and self.sim.has_crashed_two_workers(number):
+            return []
         if number in self.cancelled and state == "canceled":
             if self.sim.running(number):
                 return [f"{job} is canceled and runs"]
