Start tasks on a restarted worker only after a commit

Cause: a former leader that the store does not serve, or that was paused, may send orders for 6 s. Workers refuse its lower epoch, but one that restarts has forgotten the newer epoch, accepts the former leader's poll, and then its starts, while the new leader starts the lost tasks elsewhere. Change: a task starts on a worker only if a commit of the leader was sent after the worker's current incarnation had first answered, and its latest poll did not fail. Such a commit shows that there was no newer leader then, and a later one raises the epoch of that incarnation. A heartbeat follows within 30 ms.

--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -36,6 +36,9 @@
 SUCCESSOR_HEAD_START_MS = 1_000
 # Delay before the next claim after a claim was answered.
 CLAIM_RETRY_MS = 400
+# Delay of the heartbeat that confirms this leader after a worker has first
+# answered.
+REACHED_DELAY_MS = 30
 # Delay before the next heartbeat after a failed one.
 HEARTBEAT_RETRY_MS = 250
 # Maximum relative rate difference of two clocks, from the platform's protocol.
@@ -394,6 +397,8 @@
             record_commit(state, answer)
             leader.heartbeat_at = max(leader.heartbeat_at, answer.sent_at)
             leader.heartbeat_due_at = answer.sent_at + HEARTBEAT_INTERVAL_MS
+            if leader.reached_at > answer.sent_at:
+                leader.heartbeat_due_at = state.now + REACHED_DELAY_MS
             return
         leader.heartbeat_due_at = state.now + HEARTBEAT_RETRY_MS
         if answer.status == "conflict":
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -46,6 +46,11 @@
             continue
         if worker.cordoned or worker.name in leader.trial_workers:
             continue
+        if worker.failed_polls or leader.confirmed_at < worker.reached_at:
+            # It may have restarted and forgotten the epoch of a newer leader. A
+            # commit sent after it had learned this epoch shows that there was
+            # none.
+            continue
         if leader.roster_saved.get(worker.name) != entry.address:
             continue
         if (
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -219,6 +219,7 @@
         lease_granted_at: When the latest order that renews its lease was
             sent.
         answered_at: When it last answered.
+        reached_at: When its current incarnation first answered.
         poll_pending: Whether a poll is in flight.
         failed_polls: Consecutive polls that failed.
         poll_due_at: When to send the next poll.
@@ -250,6 +251,7 @@
         "poll_due_at",
         "poll_pending",
         "name",
+        "reached_at",
         "replaced",
         "restarted",
         "backoff_until",
@@ -279,6 +281,7 @@
         self.unsaved_ends: dict[int, str] = {}
         self.lease_granted_at = 0
         self.answered_at = 0
+        self.reached_at = 0
         self.poll_pending = False
         self.failed_polls = 0
         self.poll_due_at = 0
@@ -350,6 +353,7 @@
         saved_coefficients: Coefficients in the store, for a successor.
         successor: Node on a larger VM that asks to take over; empty for none.
         successor_capacity: Capacity of that VM, in cores.
+        reached_at: When a worker first answered, of the latest one that did.
         starts_in_flight: Start orders that are not answered yet.
         entries_answered_at: When worker entries were last received.
         entries_read_at: The received entries are at least as recent as this.
@@ -363,6 +367,7 @@
         self.heartbeat_at = now
         self.successor = ""
         self.successor_capacity = 0.0
+        self.reached_at = 0
         self.starts_in_flight = 0
         self.entries_answered_at = now
         self.entries_read_at = now
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -204,6 +204,13 @@
     if event.incarnation > worker.incarnation:
         _on_restart(state, effects, worker, event.incarnation)
     first_answer = not worker.fenced or worker.failed_polls
+    if not worker.fenced:
+        worker.reached_at = state.now
+        leader.reached_at = state.now
+        # Nothing starts there before a commit, which others may share.
+        leader.heartbeat_due_at = min(
+            leader.heartbeat_due_at, state.now + leadership.REACHED_DELAY_MS
+        )
     worker.fenced = True
     worker.failed_polls = 0
     worker.clock = (event.clock_ms, state.now)
