Start nothing on a machine that has just gone down

Cause: when the platform confirmed the maintenance of a machine, its worker was no longer cordoned. It counted as responsive for up to two seconds more, is empty, and so attracted starts, which were lost. Change: the worker gets no tasks until its silence would be known. It is not cordoned for longer, because the platform also confirms maintenance that was done before. The simulated machine is now down during its maintenance, as on the platform; before, its worker went on answering and ended its runs only when it came back.

--- a/packages/core/src/skylarklug/scheduler/maintenance.py
+++ b/packages/core/src/skylarklug/scheduler/maintenance.py
@@ -8,6 +8,9 @@
 
 # Time between two listings of the machines while a wave is in progress.
 LIST_INTERVAL_MS = 500
+# A machine whose maintenance was confirmed goes down, unless that had been done
+# before. Its worker gets no tasks until it would be known to be silent.
+GOING_DOWN_MS = state_lib.WORKER_SILENCE_MS
 # Time between two updates of the waves.
 ADVANCE_INTERVAL_MS = 200
 
@@ -174,7 +177,7 @@
         wave.pending.discard(event.machine)
         if event.result == "ok":
             wave.confirmed_at[event.machine] = state.now
-            _uncordon_worker(leader, event.machine)
+            _uncordon_worker(leader, event.machine, state.now + GOING_DOWN_MS)
         elif event.reason == "wave":
             wave.finished.add(event.machine)
             _uncordon_worker(leader, event.machine)
@@ -184,11 +187,12 @@
             wave.draining.add(event.machine)
 
 
-def _uncordon_worker(leader, name):
+def _uncordon_worker(leader, name, backoff_until=0):
     machine = leader.machines.get(name)
     worker = None if machine is None else leader.workers.get(machine.worker)
     if worker is not None:
         worker.cordoned = False
+        worker.backoff_until = max(worker.backoff_until, backoff_until)
 
 
 HANDLERS = {
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -763,6 +763,9 @@
 
         def arrive():
             worker = self.workers.get(effect.worker)
+            if f"m-{effect.worker}" in self.down:
+                answer(effect.timeout_ms, "unknown", "silent")
+                return
             if effect.worker in self.crashed_workers:
                 answer(LINK_DELAY_MS, "refused", "connection refused")
                 return
@@ -873,10 +876,10 @@
             self.ended_by_maintenance.extend(worker.runs)
             self.down[machine] = True
             self.max_down = max(self.max_down, len(self.down))
+            worker.restart(worker.incarnation + 1)
 
             def finish_maintenance():
                 del self.down[machine]
-                worker.crash(worker.incarnation + 1)
                 self.publish_workers()
 
             self.after(2_000, finish_maintenance)
--- a/tests/scheduler/test_policy.py
+++ b/tests/scheduler/test_policy.py
@@ -67,6 +67,17 @@
         assert most_unavailable <= 1
         assert len(sim.running(1)) == 4
 
+    def test_nothing_starts_on_a_machine_that_goes_down(self, deployment):
+        """Guards against tasks that start on a worker whose machine has just
+        gone down, and are then lost as if it had crashed."""
+        sim = deployment(workers=3)
+        self.request_wave(sim, ["m-w0", "m-w1", "m-w2"], 1)
+        for number in range(1, 80):
+            sim.submit(number, fakes.step(cpu=12_000))
+            sim.run(150)
+        assert len(sim.maintained) == 3
+        assert not sim.log_of("run-lost")
+
     def test_wave_continues_after_a_takeover(self, deployment):
         """Guards against a wave that is abandoned when its leader fails."""
         sim = deployment(workers=4)
