Do not blame a task for a worker that never received it

Cause: a start without an answer counted as a crash once the lease of its silent worker had ended, like a run that the worker had confirmed. A run that was being stopped counted as one that had just started, because a stop resets the time of its confirmation. Change: the time since which the run is confirmed is kept apart. Crashes under starts that were never confirmed make the next run a trial, but only three of them, with any others, give the task up.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -17,33 +17,32 @@
 # A run that a worker has reported for this long is not the cause of a crash,
 # and proves that earlier crashes were not caused by its task.
 MAX_CRASH_AGE_MS = 10_000
-# A task is given up after this many crashes within `TRIAL_MS` of its start.
+# A task is given up after this many crashes within `TRIAL_MS` of a start that
+# the worker had confirmed.
 MAX_TRIAL_CRASHES = 2
-# A task is given up after this many crashes within `MAX_CRASH_AGE_MS`.
+# A task is given up after this many crashes within `MAX_CRASH_AGE_MS`, also of
+# workers that may not have received the start.
 MAX_CRASHES = 3
 # Maximum share of the workers that have a trial at once.
 MAX_TRIAL_SHARE = 0.5
 
 
-def _count_prompt(task):
-    """Returns how many workers crashed about when they started the task."""
-    count = 0
-    for crash in task.crashes.values():
-        if crash.survived_ms < TRIAL_MS:
-            count += 1
-    return count
-
-
 def is_suspect(task) -> bool:
     """Returns whether the next run of the task is a trial."""
-    return bool(task.crashes) and _count_prompt(task) > 0
+    if not task.crashes:
+        return False
+    return any(c.survived_ms < TRIAL_MS for c in task.crashes.values())
 
 
 def is_exhausted(task) -> bool:
     """Returns whether a task has crashed too many workers to start again."""
     if len(task.crashes) >= MAX_CRASHES:
         return True
-    return _count_prompt(task) >= MAX_TRIAL_CRASHES
+    prompt = 0
+    for crash in task.crashes.values():
+        if 0 <= crash.survived_ms < TRIAL_MS:
+            prompt += 1
+    return prompt >= MAX_TRIAL_CRASHES
 
 
 def describe(task) -> str:
@@ -69,7 +68,7 @@
         return []
     changed = []
     for task in worker.runs.values():
-        survived = task.survived_ms()
+        survived = task.survived_ms() if task.running_since else -1
         if survived >= MAX_CRASH_AGE_MS or task.attempt in task.crashes:
             continue
         task.crashes[task.attempt] = records.Crash(
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -97,6 +97,7 @@
     task.status = state_lib.STARTING
     task.attempt = attempt
     task.confirmed_at = 0
+    task.running_since = 0
     task.listed_at = 0
     task.order_count = 0
     task.percent = 0
@@ -313,6 +314,7 @@
         worker.answered_at = max(worker.answered_at, event.sent_at)
         task.status = state_lib.WORKING
         task.confirmed_at = state.now
+        task.running_since = state.now
         leader.unconfirmed.pop(task.key, None)
         mark_started(leader, task.job)
         if task.step.best_effort:
--- a/packages/core/src/skylarklug/scheduler/records.py
+++ b/packages/core/src/skylarklug/scheduler/records.py
@@ -194,7 +194,8 @@
         worker: Name of the worker.
         incarnation: The incarnation of the worker that has crashed.
         address: Its "host:port"; another worker may come up there.
-        survived_ms: How long the run is known to have run before.
+        survived_ms: How long the run is known to have run before; -1 if the
+            worker had not confirmed that it ran.
     """
 
     worker: str
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -37,6 +37,8 @@
         ordered_at: When the latest start or stop was sent.
         order_count: How often the current start or stop was sent.
         confirmed_at: When the worker first confirmed the run.
+        running_since: When the worker first confirmed that it runs the task; 0
+            if it has not.
         listed_at: When the latest poll was sent that listed the run.
         percent: Progress, as reported by the worker.
         measurement: Tail latency in ms, or CPU in use.
@@ -85,6 +87,7 @@
         "pace_confirmed",
         "pace_ordered_at",
         "percent",
+        "running_since",
         "slow_since",
         "status",
         "step",
@@ -112,6 +115,7 @@
         self.ordered_at = 0
         self.order_count = 0
         self.confirmed_at = 0
+        self.running_since = 0
         self.listed_at = 0
         self.percent = 0
         self.measurement = 0.0
@@ -130,9 +134,9 @@
 
     def survived_ms(self) -> int:
         """Returns how long the current run is known to have run, in ms."""
-        if not self.confirmed_at:
+        if not self.running_since:
             return 0
-        return max(0, self.listed_at - self.confirmed_at)
+        return max(0, self.listed_at - self.running_since)
 
 
 class Job:
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -290,6 +290,7 @@
     if task.status == state_lib.STARTING:
         task.status = state_lib.WORKING
         task.confirmed_at = state.now
+        task.running_since = state.now
         leader.unconfirmed.pop(task.key, None)
         orders.mark_started(leader, task.job)
     if report.checkpoint:
@@ -310,6 +311,8 @@
             orders.reserve_resources(worker, task)
             task.status = state_lib.WORKING
             task.confirmed_at = state.now
+            task.running_since = state.now
+            task.listed_at = 0
             task.held_until = 0
             task.pace_confirmed = False
             _update_run(state, task, report)
--- a/tests/scheduler/test_crashes.py
+++ b/tests/scheduler/test_crashes.py
@@ -1,7 +1,10 @@
 import pytest
 import scheduler_fakes as fakes
 
+from skylarklug.scheduler import crashes
+from skylarklug.scheduler import orders
 from skylarklug.scheduler import records
+from skylarklug.scheduler import state as state_lib
 
 # The platform allows two further starts after three workers have crashed.
 MAX_STARTS = 5
@@ -183,6 +186,18 @@
         assert len(sim.running(1)) == 1
         assert not sim.find_problems()
 
+    def test_run_that_is_being_stopped_keeps_its_age(self, deployment):
+        """Guards against taking a run that has lasted for one that has just
+        started because it is being stopped."""
+        sim = deployment()
+        sim.submit(1, fakes.step(runs_until_cancelled=True))
+        sim.run(3_000)
+        state = sim.leader().state
+        ((key, name),) = sim.running(1)
+        task = state.leader.workers[name].runs[key]
+        orders.stop(state, [], task, "test")
+        assert task.survived_ms() > 1_000
+
     def test_drained_worker_has_not_crashed(self, deployment):
         """Guards against counting workers that leave as planned."""
         sim = deployment(workers=3)
@@ -202,6 +217,30 @@
         assert not task.crashes
 
 
+class TestLimits:
+    @pytest.mark.parametrize(
+        ("survived", "exhausted"),
+        [
+            ([0], False),
+            ([0, 400], True),
+            ([0, 600], False),
+            ([0, 600, 9_000], True),
+            # The worker may never have received the start.
+            ([-1, 0], False),
+            ([-1, -1, 0], True),
+        ],
+    )
+    def test_limit_of_crashes(self, survived, exhausted):
+        """Guards against giving up a task too early, or not at all."""
+        key = records.TaskKey(fakes.job_id(1), 0, 0, 0)
+        task = state_lib.Task(None, key, fakes.step())
+        for attempt, survived_ms in enumerate(survived, 1):
+            task.crashes[attempt] = records.Crash(
+                f"w{attempt}", 1, f"w{attempt}:1", survived_ms
+            )
+        assert crashes.is_exhausted(task) is exhausted
+
+
 class TestRow:
     def test_row_without_crashes_is_read(self, deployment):
         """Guards against jobs of an earlier build that cannot be loaded."""
