Add a failing test of ends of a gang acknowledged before its job is saved

The first end of a gang that a new leader reads ends all its members. The ends of the others then find no task and are acknowledged at once. If the commit fails and another leader follows, it starts the gang again (TWICE).

--- a/tests/scheduler/test_restarted_worker.py
+++ b/tests/scheduler/test_restarted_worker.py
@@ -120,3 +120,30 @@
         sim.run(20_000)
         assert not sim.find_problems()
         assert sim.state_of(1) == "failed"
+
+
+class TestGangThatEnded:
+    def test_no_end_is_acknowledged_before_the_job_is_saved(self, deployment):
+        """Guards against a second run of a gang whose first end is not saved,
+        because the ends of its other members were acknowledged at once."""
+        sim = deployment(nodes=3, workers=2)
+        for worker in sim.workers.values():
+            worker.run_ms = 1_000
+        sim.submit(1, fakes.step(2, cpu=9_000, gang=True))
+        while len(sim.starts) < 2:
+            sim.run(1)
+        sim.kill(sim.leader().name)
+        while not sim.log_of("end"):
+            sim.run(1)
+        leader = sim.leader().name
+        sim.store.modes[leader] = "refuse"
+        sim.run(1_500)
+        sim.kill(leader)
+        for worker in sim.workers.values():
+            if worker.ends:
+                worker.crash(incarnation=2)
+                break
+        sim.publish_workers()
+        sim.run(20_000)
+        assert not sim.find_problems()
+        assert sim.state_of(1) == "done"
