Give up a task only for workers that have crashed

Cause: a worker whose lease had ended counted like one that had crashed. Change: a crash record is proven when the worker's process has ended: it answers in a new incarnation, or another instance has its address. Two prompt or three recent crashes give a task up only if they are proven; of workers that may only be silent it takes four, one less than the platform allows.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -17,12 +17,14 @@
 # A run that a worker has reported for this long is not the cause of a crash,
 # and proves that earlier crashes were not caused by its task.
 MAX_CRASH_AGE_MS = 10_000
-# A task is given up after this many crashes within `TRIAL_MS` of a start that
-# the worker had confirmed.
+# A task is given up after this many proven crashes within `TRIAL_MS` of a start
+# that the worker had confirmed.
 MAX_TRIAL_CRASHES = 2
-# A task is given up after this many crashes within `MAX_CRASH_AGE_MS`, also of
-# workers that may not have received the start.
+# A task is given up after this many proven crashes within `MAX_CRASH_AGE_MS`.
 MAX_CRASHES = 3
+# The same if some of the workers are only silent. The platform allows two
+# further starts after three workers have crashed.
+MAX_UNPROVEN_CRASHES = 4
 # Maximum share of the workers that have a trial at once.
 MAX_TRIAL_SHARE = 0.5
 
@@ -36,13 +38,13 @@
 
 def is_exhausted(task) -> bool:
     """Returns whether a task has crashed too many workers to start again."""
-    if len(task.crashes) >= MAX_CRASHES:
+    if len(task.crashes) >= MAX_UNPROVEN_CRASHES:
         return True
-    prompt = 0
-    for crash in task.crashes.values():
-        if 0 <= crash.survived_ms < TRIAL_MS:
-            prompt += 1
-    return prompt >= MAX_TRIAL_CRASHES
+    proven = [crash for crash in task.crashes.values() if crash.proven]
+    if len(proven) >= MAX_CRASHES:
+        return True
+    prompt = [c for c in proven if 0 <= c.survived_ms < TRIAL_MS]
+    return len(prompt) >= MAX_TRIAL_CRASHES
 
 
 def describe(task) -> str:
@@ -54,7 +56,7 @@
 # ------------------------------------------------------------------- records
 
 
-def record_runs(leader, worker) -> list:
+def record_runs(leader, worker, proven) -> list:
     """Records a crash under each run that may have caused it.
 
     Called as soon as a worker is silent, so that the next leader knows of it. A
@@ -72,7 +74,11 @@
         if survived >= MAX_CRASH_AGE_MS or task.attempt in task.crashes:
             continue
         task.crashes[task.attempt] = records.Crash(
-            worker.name, worker.incarnation, worker.entry.address, survived
+            worker.name,
+            worker.incarnation,
+            worker.entry.address,
+            survived,
+            proven,
         )
         watch(leader, task)
         changed.append(_changed_job(task))
@@ -89,7 +95,7 @@
 def take_back(leader, worker) -> list:
     """Removes the crash records of a worker that answers.
 
-    Records of an earlier incarnation stay: that one has ended.
+    Records of an earlier incarnation are proven: that one has ended.
 
     Returns:
         The jobs whose rows must be saved.
@@ -99,13 +105,31 @@
         for attempt, crash in list(task.crashes.items()):
             if crash.worker != worker.name:
                 continue
-            if crash.incarnation != worker.incarnation:
+            if crash.incarnation == worker.incarnation:
+                del task.crashes[attempt]
+            elif crash.proven:
                 continue
-            del task.crashes[attempt]
+            else:
+                task.crashes[attempt] = crash._replace(proven=True)
             changed.append(_changed_job(task))
     return changed
 
 
+def prove(leader, worker) -> list:
+    """Marks the crashes of a worker whose process has ended as proven.
+
+    Returns:
+        The jobs whose rows must be saved.
+    """
+    changed = []
+    for task in leader.unproven_crashes.pop(worker.name, {}).values():
+        for attempt, crash in task.crashes.items():
+            if crash.worker == worker.name and not crash.proven:
+                task.crashes[attempt] = crash._replace(proven=True)
+                changed.append(_changed_job(task))
+    return changed
+
+
 def forget(task) -> list:
     """Removes the crash records of a task whose run has lasted.
 
@@ -174,7 +198,7 @@
     """
     if not task.crashes:
         return True
-    if not task.job.crashes_saved:
+    if not task.job.crashes_saved or is_exhausted(task):
         return False
     return not is_suspect(task) or leader.free_trials > 0
 
--- a/packages/core/src/skylarklug/scheduler/records.py
+++ b/packages/core/src/skylarklug/scheduler/records.py
@@ -196,12 +196,15 @@
         address: Its "host:port"; another worker may come up there.
         survived_ms: How long the run is known to have run before; -1 if the
             worker had not confirmed that it ran.
+        proven: Whether that incarnation has ended; otherwise it may only be
+            silent.
     """
 
     worker: str
     incarnation: int
     address: str
     survived_ms: int
+    proven: bool = False
 
 
 class Wave(NamedTuple):
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -110,7 +110,7 @@
     if worker.incarnation:
         _log_worker(state, effects, worker, "reborn")
         worker.restarted = True
-        _record_crash(state.leader, worker)
+        _record_crash(state, effects, worker, proven=True)
     worker.incarnation = incarnation
     worker.replaced = False
     worker.fenced = False
@@ -131,9 +131,23 @@
     return worker.failed_polls >= POLLS_UNTIL_SUSPECTED
 
 
-def _record_crash(leader, worker):
-    for job in crashes.record_runs(leader, worker):
-        jobs.mark_dirty(leader, job)
+def _record_crash(state, effects, worker, proven):
+    """Records that a worker has crashed, or may have."""
+    leader = state.leader
+    changed = crashes.record_runs(leader, worker, proven)
+    if proven:
+        changed += crashes.prove(leader, worker)
+    _save_crashes(state, effects, changed)
+
+
+def _save_crashes(state, effects, changed):
+    """Saves changed crash records, and gives up what they prove."""
+    for job in changed:
+        jobs.mark_dirty(state.leader, job)
+        for task in list(job.tasks.values()):
+            if not task.worker and crashes.is_exhausted(task):
+                reason = crashes.describe(task)
+                jobs.fail_job(state, effects, job, reason)
 
 
 def _mark_run_lost(state, effects, worker, task, reason, since=None):
@@ -216,8 +230,7 @@
     worker.clock = (event.clock_ms, state.now)
     worker.answered_at = state.now
     worker.record_change(leader)
-    for job in crashes.take_back(leader, worker):
-        jobs.mark_dirty(leader, job)
+    _save_crashes(state, effects, crashes.take_back(leader, worker))
     for report in event.ended:
         if report.number <= worker.last_end_number:
             continue
@@ -372,7 +385,7 @@
     """
     worker.fenced = False
     worker.replaced = True
-    _record_crash(state.leader, worker)
+    _record_crash(state, effects, worker, proven=True)
     for task in list(worker.runs.values()):
         since = worker.answered_at
         _mark_run_lost(state, effects, worker, task, "address reused", since)
@@ -395,7 +408,7 @@
         if not worker.poll_pending and state.now >= worker.poll_due_at:
             _poll(state, effects, worker)
         if _may_have_crashed(state, worker):
-            _record_crash(leader, worker)
+            _record_crash(state, effects, worker, proven=False)
         # Only a commit sent after the lease expired proves that no other
         # leader has renewed the lease in the meantime.
         lease_ends_at = (
--- a/tests/scheduler/test_crashes.py
+++ b/tests/scheduler/test_crashes.py
@@ -219,24 +219,27 @@
 
 class TestLimits:
     @pytest.mark.parametrize(
-        ("survived", "exhausted"),
+        ("survived", "proven", "exhausted"),
         [
-            ([0], False),
-            ([0, 400], True),
-            ([0, 600], False),
-            ([0, 600, 9_000], True),
+            ([0], True, False),
+            ([0, 400], True, True),
+            ([0, 600], True, False),
+            ([0, 600, 9_000], True, True),
             # The worker may never have received the start.
-            ([-1, 0], False),
-            ([-1, -1, 0], True),
+            ([-1, 0], True, False),
+            ([-1, -1, 0], True, True),
+            # The workers may only be silent.
+            ([0, 0, 0], False, False),
+            ([0, 0, 0, 0], False, True),
         ],
     )
-    def test_limit_of_crashes(self, survived, exhausted):
+    def test_limit_of_crashes(self, survived, proven, exhausted):
         """Guards against giving up a task too early, or not at all."""
         key = records.TaskKey(fakes.job_id(1), 0, 0, 0)
         task = state_lib.Task(None, key, fakes.step())
         for attempt, survived_ms in enumerate(survived, 1):
             task.crashes[attempt] = records.Crash(
-                f"w{attempt}", 1, f"w{attempt}:1", survived_ms
+                f"w{attempt}", 1, f"w{attempt}:1", survived_ms, proven
             )
         assert crashes.is_exhausted(task) is exhausted
 
