Acknowledge ends of jobs whose row needs no commit

Found by the review: a worker's ends were never acknowledged again, so that new ones would become invisible after 500.

Cause: an end waited for a commit of its job although the row was saved already, or the job was removed before that commit: a crash had made a closed job dirty. Change: an end waits only while the row is due or in flight, and a job stays until then. Jobs that have ended get no crash records.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -70,6 +70,8 @@
         return []
     changed = []
     for task in worker.runs.values():
+        if task.job.state in records.FINAL_STATES:
+            continue
         survived = task.survived_ms() if task.running_since else -1
         if survived >= MAX_CRASH_AGE_MS or task.attempt in task.crashes:
             continue
@@ -102,6 +104,8 @@
     """
     changed = []
     for task in leader.unproven_crashes.pop(worker.name, {}).values():
+        if task.key not in task.job.tasks:
+            continue
         for attempt, crash in list(task.crashes.items()):
             if crash.worker != worker.name:
                 continue
@@ -123,6 +127,8 @@
     """
     changed = []
     for task in leader.unproven_crashes.pop(worker.name, {}).values():
+        if task.key not in task.job.tasks:
+            continue
         for attempt, crash in task.crashes.items():
             if crash.worker == worker.name and not crash.proven:
                 task.crashes[attempt] = crash._replace(proven=True)
--- a/packages/core/src/skylarklug/scheduler/ends.py
+++ b/packages/core/src/skylarklug/scheduler/ends.py
@@ -84,7 +84,7 @@
             jobs.finish_task(state, effects, member)
     else:
         jobs.finish_task(state, effects, task)
-    return job.spec.job
+    return _unsaved_job(state.leader, job)
 
 
 def _handle_failed(state, effects, worker, task, report, is_current):
@@ -110,7 +110,7 @@
     if len(task.failures) >= jobs.max_attempts(state, job):
         reason = f"task {task.key} failed {len(task.failures)} times"
         jobs.fail_job(state, effects, job, reason)
-    return job.spec.job
+    return _unsaved_job(state.leader, job)
 
 
 def _requeue(state, effects, worker, task, delay_ms, outcome):
--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -345,10 +345,13 @@
 
 def remove_closed(state, job):
     """Removes a job once its final state is saved and no run is left."""
-    if not job.final_saved or job.tasks:
-        return
     leader = state.leader
     name = job.spec.job
+    if not job.final_saved or job.tasks:
+        return
+    if name in leader.dirty or name in leader.saving:
+        # Ends of its runs wait for the commit.
+        return
     leader.jobs.pop(name, None)
     leader.dirty.pop(name, None)
     interference_model.remove_job(state, job)
