Do not try runs that a former leader had started

Cause: a run that a new leader has adopted seemed to have just started. Change: an adopted run counts as having passed its trial. A worker that a start crashes does not list that run.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -73,6 +73,9 @@
         if task.job.state in records.FINAL_STATES:
             continue
         survived = task.survived_ms() if task.running_since else -1
+        if task.adopted:
+            # A worker that a start has crashed does not list its run.
+            survived = max(survived, TRIAL_MS)
         if survived >= MAX_CRASH_AGE_MS or task.attempt in task.crashes:
             continue
         task.crashes[task.attempt] = records.Crash(
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -97,6 +97,7 @@
     task.status = state_lib.STARTING
     task.attempt = attempt
     task.confirmed_at = 0
+    task.adopted = False
     task.running_since = 0
     task.listed_at = 0
     task.order_count = 0
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -39,6 +39,7 @@
         confirmed_at: When the worker first confirmed the run.
         running_since: When the worker first confirmed that it runs the task; 0
             if it has not.
+        adopted: Whether a former leader had started the run.
         listed_at: When the latest poll was sent that listed the run.
         percent: Progress, as reported by the worker.
         measurement: Tail latency in ms, or CPU in use.
@@ -65,6 +66,7 @@
 
     __slots__ = (
         "attempt",
+        "adopted",
         "avoided_workers",
         "excess_load",
         "checkpoint",
@@ -115,6 +117,7 @@
         self.ordered_at = 0
         self.order_count = 0
         self.confirmed_at = 0
+        self.adopted = False
         self.running_since = 0
         self.listed_at = 0
         self.percent = 0
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -325,6 +325,7 @@
             task.status = state_lib.WORKING
             task.confirmed_at = state.now
             task.running_since = state.now
+            task.adopted = True
             task.listed_at = 0
             task.held_until = 0
             task.pace_confirmed = False
