Share one search among suspects

Cause: each suspect listed the workers and scored them again. Change: suspects use the search of their step; a worker that got a trial is removed from it.

--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -248,8 +248,7 @@
             search = scoring.Search(state, task, usable)
         worker = search.best_worker(state, task)
         if worker is None and crashes.is_suspect(task):
-            task.wait_reason = _find_reason(state, task, candidates)
-            search = None
+            task.wait_reason = waiting.TRIAL
             continue
         if worker is None:
             if not since:
@@ -264,8 +263,9 @@
             search = None
         if crashes.is_suspect(task):
             # Nothing else may start on that worker now.
-            candidates = None
-            search = None
+            candidates = [other for other in candidates if other is not worker]
+            if search is not None:
+                search.exclude(worker)
     return True
 
 
--- a/packages/core/src/skylarklug/scheduler/scoring.py
+++ b/packages/core/src/skylarklug/scheduler/scoring.py
@@ -251,6 +251,7 @@
         self._profile = _search_profile(state, task)
         self._reserve = _respects_reserve(state, task, candidates)
         self._candidates = candidates
+        self._excluded = set()
         self._heap = []
         for number, worker in enumerate(candidates):
             score = _score(state, worker, task, self._reserve)
@@ -262,12 +263,18 @@
         """Returns whether the scores hold for another task of the step."""
         return self._profile == _search_profile(state, task)
 
+    def exclude(self, worker):
+        """Removes a worker from the candidates."""
+        self._excluded.add(worker.name)
+
     def best_worker(self, state, task):
         """Returns the best worker, which stays a candidate, or None."""
         while self._heap:
             _, number = self._heap[0]
             worker = self._candidates[number]
-            score = _score(state, worker, task, self._reserve)
+            score = None
+            if worker.name not in self._excluded:
+                score = _score(state, worker, task, self._reserve)
             if score is None:
                 heapq.heappop(self._heap)
             elif score == self._heap[0][0]:
--- a/packages/core/src/skylarklug/scheduler/waiting.py
+++ b/packages/core/src/skylarklug/scheduler/waiting.py
@@ -21,7 +21,7 @@
 # What is free is kept for short tasks.
 RESERVE = "reserve"
 # It may have crashed a worker: that is not committed yet, or no other worker
-# may be kept free for it now.
+# with room can be kept free for it now.
 TRIAL = "trial"
 # It failed on the workers on which it fits, or they are in quarantine.
 QUARANTINE = "quarantine"
