Start lost tasks of a job that is being saved all the time

Cause: a committed crash only counted if the job had not changed again by the answer of the store. Change: the commit says how many changes of the crash records it holds.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -157,7 +157,7 @@
         job.crashes[task.key] = task.crashes
     else:
         job.crashes.pop(task.key, None)
-    job.crashes_saved = False
+    job.crash_changes += 1
     return job
 
 
@@ -207,7 +207,8 @@
     """
     if not task.crashes:
         return True
-    if not task.job.crashes_saved or is_exhausted(task):
+    job = task.job
+    if job.crash_changes_saved < job.crash_changes or is_exhausted(task):
         return False
     return not is_suspect(task) or leader.free_trials > 0
 
--- a/packages/core/src/skylarklug/scheduler/progress.py
+++ b/packages/core/src/skylarklug/scheduler/progress.py
@@ -80,7 +80,7 @@
         del leader.dirty[name]
         checks.append(fx.Check("work", name, job.version))
         writes.extend(_writes(job, leader.epoch))
-        saved_jobs.append((job, job.state))
+        saved_jobs.append((job, job.state, job.crash_changes))
     leader.saving = frozenset(names)
 
     def done(state, effects, answer):
@@ -97,11 +97,14 @@
         leadership.record_commit(state, answer)
         # Ends that arrived after the commit was sent wait for the next one.
         workers.on_jobs_committed(state, names - leader.dirty.keys())
-        for job, job_state in saved_jobs:
+        for job, job_state, crash_changes in saved_jobs:
+            if job.crash_changes_saved < crash_changes:
+                job.crash_changes_saved = crash_changes
+                leader.placement_requested = True
             _on_job_saved(state, leader, job, job_state, answer.version)
         leader.save_at = state.now
         return
-    for job, _ in saved_jobs:
+    for job, _, _ in saved_jobs:
         leader.dirty.setdefault(job.spec.job)
     leader.save_at = state.now + COMMIT_RETRY_MS
     if answer.status != "conflict":
@@ -117,9 +120,6 @@
 
 def _on_job_saved(state, leader, job, job_state, version):
     job.version = version
-    if not job.crashes_saved and job.spec.job not in leader.dirty:
-        job.crashes_saved = True
-        leader.placement_requested = True
     if not job.start_recorded:
         job.start_recorded = True
         leader.placement_requested = True
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -158,7 +158,8 @@
         done: Indices of finished tasks by (occurrence, step).
         failures: Failed attempts of unfinished tasks, by task key.
         crashes: Crashes of workers under unfinished tasks, by task key.
-        crashes_saved: Whether a committed row holds all of `crashes`.
+        crash_changes: Number of changes of `crashes`.
+        crash_changes_saved: The number that a committed row holds.
         has_cancel_row: Whether a stored row requests its cancellation.
         deadline: Time after which it is late, in Unix milliseconds.
         tickets: Advice on allowed workers by (occurrence, step).
@@ -167,7 +168,8 @@
     __slots__ = (
         "start_recorded",
         "crashes",
-        "crashes_saved",
+        "crash_changes",
+        "crash_changes_saved",
         "deadline",
         "done",
         "failures",
@@ -197,7 +199,8 @@
         self.done: dict[tuple[int, int], set[int]] = {}
         self.failures: dict[records.TaskKey, set[int]] = {}
         self.crashes: dict[records.TaskKey, dict[int, records.Crash]] = {}
-        self.crashes_saved = True
+        self.crash_changes = 0
+        self.crash_changes_saved = 0
         self.deadline = 0
         self.tickets: dict[tuple[int, int], Any] = {}
 
