Skip malformed crash records

Found by the review: one value of the wrong type in a crash record stopped all placement of the leader that read it, and a record of a later build with one more field made its whole job unreadable.

Cause: records were decoded without a check. Change: malformed records are skipped, further fields ignored.

--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -145,9 +145,29 @@
     for name, attempts in work.get("failed", {}).items():
         job.failures[_parse_key(job, name)] = set(attempts)
     for name, rows in work.get("crashed", {}).items():
-        crashed = job.crashes.setdefault(_parse_key(job, name), {})
-        for attempt, *fields in rows:
-            crashed[attempt] = records.Crash(*fields)
+        crashed = _restore_crashes(rows)
+        if crashed:
+            job.crashes[_parse_key(job, name)] = crashed
+
+
+def _restore_crashes(rows) -> dict[int, records.Crash]:
+    """Returns the crashes of a task by attempt; skips malformed ones.
+
+    A later build may have stored further fields.
+    """
+    crashed = {}
+    for row in rows:
+        attempt, worker, incarnation, address, survived_ms, proven = row[:6]
+        numbers = (attempt, incarnation, survived_ms)
+        if all(isinstance(number, int) for number in numbers):
+            crashed[attempt] = records.Crash(
+                str(worker),
+                incarnation,
+                str(address),
+                survived_ms,
+                bool(proven),
+            )
+    return crashed
 
 
 def _parse_key(job, name) -> records.TaskKey:
--- a/tests/scheduler/test_crash_records.py
+++ b/tests/scheduler/test_crash_records.py
@@ -278,7 +278,9 @@
         sim = deployment()
         sim.submit(1, fakes.step(runs_until_cancelled=True))
         sim.run(1_000)
-        self.write_crashed(sim, {"0.0.0": [[1, "w9", 1, "w9:1", 0, "new"]]})
+        self.write_crashed(
+            sim, {"0.0.0": [[1, "w9", 1, "w9:1", 0, True, "new"]]}
+        )
         self.take_over(sim)
         sim.run(6_000)
         assert fakes.job_id(1) in sim.leader().state.leader.jobs
@@ -290,7 +292,7 @@
         sim.run(2_000)
         sim.submit(1, fakes.step(runs_until_cancelled=True, label="none"))
         sim.run(1_000)
-        self.write_crashed(sim, {"0.0.0": [[1, "w9", 1, "w9:1", None]]})
+        self.write_crashed(sim, {"0.0.0": [[1, "w9", 1, "w9:1", None, True]]})
         self.take_over(sim)
         sim.run(1_500)
         node = next(iter(sim.nodes))
