Add a failing test of a leader that settles without the store

A leader that waits for the leases of unreachable workers settles by its clock. If it has lost the store, another leader may have reached such a worker in the meantime and renewed its lease, so a task starts while its run goes on (TWICE). Leases that end are already held to a commit sent afterwards; settling is not.

--- a/tests/scheduler/test_leadership.py
+++ b/tests/scheduler/test_leadership.py
@@ -341,3 +341,23 @@
         assert found.epoch == 2
         lease_ms = leadership.lease_ms(leader.state.cfg)
         assert found.settled_at - found.since < lease_ms + 100
+
+    def test_leader_without_store_does_not_settle(self, deployment):
+        """Guards against a second run of a task by a leader that settles when
+        another one has already taken over and started it."""
+        sim = deployment(workers=3)
+        first, worker = self.cut_off_leader(sim)
+        second = self.wait_for_other_leader(sim, first)
+        sim.run(second.state.leader.settled_at - sim.now - 3_600)
+        # The third leader reaches the worker before its lease ends.
+        sim.store.modes[second.name] = "silent"
+        for name in sim.nodes:
+            if name in (first.name, second.name):
+                continue
+            sim.cut_links = {link for link in sim.cut_links if link[0] != name}
+            for other in sim.workers:
+                if other != worker:
+                    sim.cut_links.add((name, other))
+        sim.run(10_000)
+        assert not sim.find_problems()
+        assert len(sim.running(1)) == 1
