Settle only by a commit after all leases have ended

Cause: a new leader that lost the store settled by its clock and started the tasks that no worker had reported, while another leader had renewed the lease of the worker that ran them. Change: settling, and the start of a single held task, need a commit that was sent after the leases had ended, as for the lease of a worker.

--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -190,7 +190,7 @@
     if task.not_before > state.now:
         task.wait_reason = waiting.DELAYED
         return False
-    if task.held_until > state.now:
+    if task.held_until > state.leader.confirmed_at:
         task.wait_reason = waiting.NOT_SETTLED
         return False
     if not crashes.may_start(state.leader, task):
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -465,7 +465,9 @@
         if worker.replaced and worker.entry.address == address:
             continue
         unreached.append(name)
-    if unreached and state.now < leader.settled_at:
+    # As for single leases, a commit sent after their end proves that no other
+    # leader has renewed them.
+    if unreached and leader.confirmed_at < leader.settled_at:
         return
     leader.settled = True
     leader.former_workers = {}
