Load the other jobs when one job raises an error

Found by the review, older code: a row of a job with a value of the wrong type hid all rows after it from a new leader.

Cause: an error that is not a ProtocolError ended the loop over the rows. Change: any error of one row is logged as job-unreadable, and the loop goes on.

--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -94,7 +94,13 @@
             continue
         if row.key in leader.jobs or row.key in leader.closed_jobs:
             continue
-        _load(state, effects, row)
+        try:
+            _load(state, effects, row)
+        except Exception as exc:
+            # The other jobs must still be loaded.
+            leader.jobs.pop(row.key, None)
+            fields = {"job": row.key, "step": "load", "reason": repr(exc)}
+            effects.append(fx.Log("error", "job-unreadable", fields))
 
 
 def _load(state, effects, row):
