Learn the version of the heartbeat from a failed claim

Found by the review of the claim that checks the heartbeat: if that row never reaches a node by its feed, all its claims conflict, and nobody leads.

Change: a node takes the heartbeat from the conflict. Evidence: test_unreadable_heartbeat_does_not_prevent_claims fails on the commit before.

--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -180,13 +180,17 @@
             state.claim_due_at = 0
             _on_owner(state, effects)
         elif row.key == HEARTBEAT and row.version > state.heartbeat_version:
-            state.heartbeat = row.value or {}
-            state.heartbeat_version = row.version
-            state.owner_updated_at = state.now
+            _on_heartbeat(state, row)
     if event.whole and state.owner is None:
         state.owner_updated_at = state.now
 
 
+def _on_heartbeat(state, row):
+    state.heartbeat = row.value or {}
+    state.heartbeat_version = row.version
+    state.owner_updated_at = state.now
+
+
 def _on_owner(state, effects):
     leader = state.leader
     owner = state.owner
@@ -287,6 +291,10 @@
     def on_answer(state, effects, answer):
         state.claiming = False
         state.claim_due_at = state.now + CLAIM_RETRY_MS
+        for row in answer.rows:
+            # The feed may not deliver it.
+            if row.key == HEARTBEAT and row.version > state.heartbeat_version:
+                _on_heartbeat(state, row)
         if done is not None:
             done(state, effects, answer)
 
