Take back the crashes of a worker that was no longer listed

Found by the review: a worker that was cut off until its entry was gone came back alive, but its crash stayed on record.

Cause: the tasks to look at were forgotten with the worker. Change: they are kept by the worker's name. Evidence: test_crash_is_taken_back_after_the_worker_was_unlisted fails on the commit before.

--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -423,7 +423,6 @@
             _mark_run_lost(state, effects, worker, task, "lease ended", since)
         if not worker.listed and worker.name not in leader.former_workers:
             del leader.workers[worker.name]
-            leader.unproven_crashes.pop(worker.name, None)
     _save_roster(state, effects)
     if not leader.settled:
         _end_settling(state, effects)
@@ -471,8 +470,6 @@
         return
     leader.settled = True
     leader.former_workers = {}
-    for name in leader.unproven_crashes.keys() - leader.workers.keys():
-        del leader.unproven_crashes[name]
     exhausted = []
     for job in leader.jobs.values():
         for task in job.tasks.values():
