Count no crash of a worker that left as planned and came back

Found by the review: a draining worker that came back under its name seemed to have crashed.

Cause: its new entry replaced the old one, which said that it was draining, before the restart was handled. Change: the restart is handled by the former entry. Evidence: test_planned_restart_under_its_name_is_no_crash fails on the commit before.

--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -77,12 +77,13 @@
         return
     if entry.draining and not worker.entry.draining:
         _log_worker(state, effects, worker, "draining")
+    if entry.incarnation > worker.incarnation:
+        # By the former entry, which says whether it has ended as planned.
+        _on_restart(state, effects, worker, entry.incarnation)
     worker.entry = entry
     worker.listed = True
     leader.placement_requested = True
     worker.record_change(leader)
-    if entry.incarnation > worker.incarnation:
-        _on_restart(state, effects, worker, entry.incarnation)
 
 
 def _unlist_worker(state, effects, worker):
