Limit the crash records in one row

Found by the review: when 1,200 runs of one job were lost at once, the row of the job outgrew the 64 KB of the store, which rejected that commit, with the rows beside it, for ever.

Change: at most 300 records are stored, those of the tasks with the most crashes first.

--- a/packages/core/src/skylarklug/scheduler/progress.py
+++ b/packages/core/src/skylarklug/scheduler/progress.py
@@ -12,6 +12,9 @@
 
 # A transaction may have 100 entries; a job takes up to four.
 MAX_JOBS_PER_COMMIT = 24
+# Maximum crash records in one row. A record has about 80 bytes, and a row of the
+# store 64 KB.
+MAX_SAVED_CRASHES = 300
 # Delay before a failed commit is repeated.
 COMMIT_RETRY_MS = 150
 # Delay after each commit, so that the ends of runs that arrive within it share
@@ -19,6 +22,21 @@
 GROUP_COMMIT_DELAY_MS = 20
 
 
+def _saved_crashes(job):
+    """Returns the crash records that fit into the row, most crashes first."""
+    saved = {}
+    count = 0
+    tasks = sorted(job.crashes.items(), key=lambda item: -len(item[1]))
+    for key, crashes in tasks:
+        count += len(crashes)
+        if count > MAX_SAVED_CRASHES:
+            break
+        saved[_task_name(key)] = [
+            [attempt, *crash] for attempt, crash in crashes.items()
+        ]
+    return saved
+
+
 def _task_name(key):
     """Returns the name of a task in the row of its job."""
     return f"{key.occurrence}.{key.step}.{key.index}"
@@ -39,12 +57,7 @@
         return value
     value.update(done=done, failed=failed)
     if job.crashes:
-        value["crashed"] = {
-            _task_name(key): [
-                [attempt, *crash] for attempt, crash in crashes.items()
-            ]
-            for key, crashes in job.crashes.items()
-        }
+        value["crashed"] = _saved_crashes(job)
     return value
 
 
