Limit late crashes of a task as well

Cause: runs that had lasted ten seconds were not recorded, and cleared the record. Change: when runs are lost, those of up to a minute are recorded; five such crashes give a task up, and only a run of a minute clears the record.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -14,9 +14,11 @@
 
 # A run that a worker has reported for this long has passed its trial.
 TRIAL_MS = 500
+# A run that a worker has reported for this long is hardly the cause of a crash.
+MAX_CRASH_AGE_MS = 10_000
 # A run that a worker has reported for this long is not the cause of a crash,
 # and proves that earlier crashes were not caused by its task.
-MAX_CRASH_AGE_MS = 10_000
+FORGET_CRASHES_MS = 60_000
 # A task is given up after this many proven crashes within `TRIAL_MS` of a start
 # that the worker had confirmed.
 MAX_TRIAL_CRASHES = 2
@@ -25,6 +27,8 @@
 # The same if some of the workers are only silent. The platform allows two
 # further starts after three workers have crashed.
 MAX_UNPROVEN_CRASHES = 4
+# A task is given up after this many crashes within `FORGET_CRASHES_MS`.
+MAX_LATE_CRASHES = 5
 # If more than this share of the workers is silent at once, the links of the
 # leader are the likely cause, and crashes are recorded only once runs are lost.
 MAX_SILENT_SHARE = 0.25
@@ -41,9 +45,16 @@
 
 def is_exhausted(task) -> bool:
     """Returns whether a task has crashed too many workers to start again."""
-    if len(task.crashes) >= MAX_UNPROVEN_CRASHES:
+    if len(task.crashes) >= MAX_LATE_CRASHES:
         return True
-    proven = [crash for crash in task.crashes.values() if crash.proven]
+    recent = [
+        crash
+        for crash in task.crashes.values()
+        if crash.survived_ms < MAX_CRASH_AGE_MS
+    ]
+    if len(recent) >= MAX_UNPROVEN_CRASHES:
+        return True
+    proven = [crash for crash in recent if crash.proven]
     if len(proven) >= MAX_CRASHES:
         return True
     prompt = [c for c in proven if 0 <= c.survived_ms < TRIAL_MS]
@@ -59,18 +70,25 @@
 # ------------------------------------------------------------------- records
 
 
-def record_runs(leader, worker, proven) -> list:
+def record_runs(leader, worker, lost, proven) -> list:
     """Records a crash under each run that may have caused it.
 
     Called as soon as a worker is silent, so that the next leader knows of it. A
     worker that has only been silent takes the records back when it answers.
 
+    Args:
+        leader: State of the leader.
+        worker: The worker that may have crashed.
+        lost: Whether its runs are lost; otherwise it may still answer.
+        proven: Whether it has crashed.
+
     Returns:
         The jobs whose rows must be saved.
     """
     if worker.entry.draining or worker.cordoned:
         # It ends as planned.
         return []
+    max_age_ms = FORGET_CRASHES_MS if lost else MAX_CRASH_AGE_MS
     changed = []
     for task in worker.runs.values():
         if task.job.state in records.FINAL_STATES:
@@ -79,7 +97,7 @@
         if task.adopted:
             # A worker that a start has crashed does not list its run.
             survived = max(survived, TRIAL_MS)
-        if survived >= MAX_CRASH_AGE_MS or task.attempt in task.crashes:
+        if survived >= max_age_ms or task.attempt in task.crashes:
             continue
         task.crashes[task.attempt] = records.Crash(
             worker.name,
@@ -148,7 +166,7 @@
     Returns:
         The jobs whose rows must be saved.
     """
-    if not task.crashes or task.survived_ms() < MAX_CRASH_AGE_MS:
+    if not task.crashes or task.survived_ms() < FORGET_CRASHES_MS:
         return []
     task.crashes.clear()
     return [_changed_job(task)]
--- a/packages/core/src/skylarklug/scheduler/progress.py
+++ b/packages/core/src/skylarklug/scheduler/progress.py
@@ -12,7 +12,7 @@
 
 # A transaction may have 100 entries; a job takes up to four.
 MAX_JOBS_PER_COMMIT = 24
-# Maximum crash records in one row. A record has about 80 bytes, and a row of the
+# Maximum crash records in one row. A record has about 80 bytes, a row of the
 # store 64 KB.
 MAX_SAVED_CRASHES = 300
 # Delay before a failed commit is repeated.
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -111,7 +111,7 @@
     if worker.incarnation:
         _log_worker(state, effects, worker, "reborn")
         worker.restarted = True
-        _record_crash(state, effects, worker, proven=True)
+        _record_crash(state, effects, worker, lost=True, proven=True)
     worker.incarnation = incarnation
     worker.replaced = False
     worker.fenced = False
@@ -132,10 +132,10 @@
     return worker.failed_polls >= POLLS_UNTIL_SUSPECTED
 
 
-def _record_crash(state, effects, worker, proven):
+def _record_crash(state, effects, worker, lost, proven):
     """Records that a worker has crashed, or may have."""
     leader = state.leader
-    changed = crashes.record_runs(leader, worker, proven)
+    changed = crashes.record_runs(leader, worker, lost, proven)
     if proven:
         changed += crashes.prove(leader, worker)
     _save_crashes(state, effects, changed)
@@ -388,7 +388,7 @@
     """
     worker.fenced = False
     worker.replaced = True
-    _record_crash(state, effects, worker, proven=True)
+    _record_crash(state, effects, worker, lost=True, proven=True)
     for task in list(worker.runs.values()):
         since = worker.answered_at
         _mark_run_lost(state, effects, worker, task, "address reused", since)
@@ -410,7 +410,7 @@
     silent = [w for w in leader.workers.values() if _is_suspicious(state, w)]
     if len(silent) <= max(1, crashes.MAX_SILENT_SHARE * len(leader.workers)):
         for worker in silent:
-            _record_crash(state, effects, worker, proven=False)
+            _record_crash(state, effects, worker, lost=False, proven=False)
     for worker in list(leader.workers.values()):
         if not worker.poll_pending and state.now >= worker.poll_due_at:
             _poll(state, effects, worker)
@@ -422,7 +422,7 @@
         if leader.confirmed_at < lease_ends_at:
             continue
         if worker.runs:
-            _record_crash(state, effects, worker, proven=False)
+            _record_crash(state, effects, worker, lost=True, proven=False)
         for task in list(worker.runs.values()):
             # It has not run for about as long as the worker has been silent.
             since = worker.answered_at
--- a/tests/scheduler/test_crashes.py
+++ b/tests/scheduler/test_crashes.py
@@ -225,6 +225,8 @@
             ([0, 400], True, True),
             ([0, 600], True, False),
             ([0, 600, 9_000], True, True),
+            ([0, 12_000, 30_000], True, False),
+            ([12_000, 12_000, 12_000, 12_000, 30_000], True, True),
             # The worker may never have received the start.
             ([-1, 0], True, False),
             ([-1, -1, 0], True, True),
