Withdraw a start that a worker never answers

Found by the review, older code: a task waited for ever for a worker that answers polls but no starts, while others were free.

Cause: a start without an answer was repeated without a limit. Change: after four orders the start is stopped, which makes the worker reject it, and the task avoids that worker.

--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -18,6 +18,8 @@
 MAX_STARTS_IN_FLIGHT = 64
 # Delay before an order without an answer is repeated, after its timeout.
 ORDER_RETRY_MS = 300
+# A start that was ordered this often without an answer is withdrawn.
+MAX_START_ORDERS = 4
 # Attempt numbers of each epoch are in a range of this size. A leader that has
 # not seen the attempts of its predecessor still uses higher numbers.
 ATTEMPTS_PER_EPOCH = 1_000
@@ -429,6 +431,10 @@
         # rejects the attempt.
         stop(state, effects, task, "the worker has shrunk")
         return
+    if task.order_count >= MAX_START_ORDERS:
+        task.avoided_workers.add(worker.name)
+        stop(state, effects, task, "no answer to its start")
+        return
     _send_start(state, effects, task, worker)
 
 
