Ignore answers to polls of an earlier leadership

Found by the review, older code: a worker seemed to have accepted the epoch of a leader although it had answered a poll of the same node's earlier leadership, so that leader could settle, and start tasks, too early.

Change: answers to polls that were sent before the claim are ignored. Evidence: TestEarlierLeadership fails on the commit before.

--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -211,7 +211,8 @@
     if leader is None:
         return
     worker = leader.workers.get(event.worker)
-    if worker is None:
+    if worker is None or event.sent_at < leader.since:
+        # A poll of an earlier leadership carried another epoch.
         return
     worker.poll_pending = False
     if event.incarnation < worker.incarnation:
@@ -363,7 +364,7 @@
     if event.op != "look" or state.leader is None:
         return
     worker = state.leader.workers.get(event.worker)
-    if worker is None:
+    if worker is None or event.sent_at < state.leader.since:
         return
     worker.poll_pending = False
     worker.failed_polls += 1
