Record a crash while workers that have left do not answer

Found by reading the change: after a take-over, workers of the roster that had left counted as silent, so crashes were recorded only once runs were lost.

Change: only workers that have runs count. Evidence: test_workers_that_have_left_do_not_hide_a_crash fails without the change.

--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -123,10 +123,12 @@
 
 
 def _is_suspicious(state, worker):
-    """Returns whether a worker that still holds leases may have crashed.
+    """Returns whether a worker that has runs may have crashed.
 
     Two polls fail within a second if its host refuses connections.
     """
+    if not worker.runs:
+        return False
     if not worker.is_responsive(state.now):
         return worker.failed_polls > 0
     return worker.failed_polls >= POLLS_UNTIL_SUSPECTED
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -51,6 +51,11 @@
     return f"{number:016x}"
 
 
+def first_key(number, index=0):
+    """Returns the key of a task of the first step of a job."""
+    return records.TaskKey(job_id(number), 0, 0, index)
+
+
 def step(count=1, **fields):
     need = records.Resources(
         fields.pop("cpu", 1_000),
@@ -715,6 +720,11 @@
 
         self.after(CRASH_DOWN_MS, return_worker)
 
+    def cut_off(self, worker):
+        """Cuts a worker off from all nodes."""
+        for node in self.nodes:
+            self.cut_links.add((node, worker))
+
     def can_reach(self, node, worker):
         return (node.name, worker) not in self.cut_links
 
--- a/tests/scheduler/test_crashes.py
+++ b/tests/scheduler/test_crashes.py
@@ -10,9 +10,9 @@
 MAX_STARTS = 5
 
 
-def fatal_task(sim, number, step=0, index=0):
+def fatal_task(sim, number, index=0):
     """Makes a task of a job crash each worker that starts it."""
-    key = records.TaskKey(fakes.job_id(number), 0, step, index)
+    key = fakes.first_key(number, index)
     sim.fatal_tasks.add(key)
     return key
 
@@ -151,6 +151,22 @@
         assert len(starts_of(sim, key)) <= MAX_STARTS
         assert sim.state_of(1) == "failed"
 
+    def test_workers_that_have_left_do_not_hide_a_crash(self, deployment):
+        """Guards against a crash that is recorded late because workers that
+        the former leader used do not answer either."""
+        sim = deployment(workers=6)
+        sim.kill(sim.leader().name)
+        for name in ("w0", "w1", "w2"):
+            del sim.workers[name]
+        sim.run(3_500)
+        key = fatal_task(sim, 1)
+        sim.submit(1, fakes.step())
+        while not starts_of(sim, key):
+            sim.run(5)
+        sim.run(1_500)
+        row = sim.store.rows["work", fakes.job_id(1)]
+        assert "crashed" in row.value
+
     def test_task_waits_until_its_crash_is_committed(self, deployment):
         """Guards against a start that the next leader does not know of."""
         sim = deployment(workers=3)
@@ -237,7 +253,7 @@
     )
     def test_limit_of_crashes(self, survived, proven, exhausted):
         """Guards against giving up a task too early, or not at all."""
-        key = records.TaskKey(fakes.job_id(1), 0, 0, 0)
+        key = fakes.first_key(1)
         task = state_lib.Task(None, key, fakes.step())
         for attempt, survived_ms in enumerate(survived, 1):
             task.crashes[attempt] = records.Crash(
