--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -127,19 +127,12 @@
         The jobs whose rows must be saved.
     """
     changed = []
-    for task in leader.unproven_crashes.pop(worker.name, {}).values():
-        if task.key not in task.job.tasks:
-            continue
-        for attempt, crash in list(task.crashes.items()):
-            if crash.worker != worker.name:
-                continue
-            if crash.incarnation == worker.incarnation:
-                del task.crashes[attempt]
-            elif crash.proven:
-                continue
-            else:
-                task.crashes[attempt] = crash._replace(proven=True)
-            changed.append(_changed_job(task))
+    for task, attempt, crash in _pop_unproven(leader, worker):
+        if crash.incarnation == worker.incarnation:
+            del task.crashes[attempt]
+        else:
+            task.crashes[attempt] = crash._replace(proven=True)
+        changed.append(_changed_job(task))
     return changed
 
 
@@ -150,14 +143,22 @@
         The jobs whose rows must be saved.
     """
     changed = []
+    for task, attempt, crash in _pop_unproven(leader, worker):
+        task.crashes[attempt] = crash._replace(proven=True)
+        changed.append(_changed_job(task))
+    return changed
+
+
+def _pop_unproven(leader, worker):
+    """Returns (task, attempt, crash) of a worker's crashes, watched no more."""
+    found = []
     for task in leader.unproven_crashes.pop(worker.name, {}).values():
         if task.key not in task.job.tasks:
             continue
         for attempt, crash in task.crashes.items():
             if crash.worker == worker.name and not crash.proven:
-                task.crashes[attempt] = crash._replace(proven=True)
-                changed.append(_changed_job(task))
-    return changed
+                found.append((task, attempt, crash))
+    return found
 
 
 def forget(task) -> list:
--- a/tests/scheduler/test_crash_records.py
+++ b/tests/scheduler/test_crash_records.py
@@ -13,15 +13,6 @@
 ROW_BYTES = 65_536
 
 
-def first_key(number, index=0):
-    return records.TaskKey(fakes.job_id(number), 0, 0, index)
-
-
-def cut(sim, worker):
-    for node in sim.nodes:
-        sim.cut_links.add((node, worker))
-
-
 class TestBlame:
     def test_cut_off_workers_do_not_fail_a_job(self, deployment):
         """Guards against a job shown as failed although no worker crashed,
@@ -35,7 +26,7 @@
                 sim.run(25)
             ((_, worker),) = sim.running(1)
             sim.run(100)
-            cut(sim, worker)
+            sim.cut_off(worker)
             sim.run(6_500)
         sim.run(3_000)
         sim.cut_links.clear()
@@ -298,7 +289,7 @@
         node = next(iter(sim.nodes))
         sim.submit(2, fakes.step(), node=node)
         sim.run(20_000)
-        assert [row for row in sim.starts if row[1] == first_key(2)]
+        assert [row for row in sim.starts if row[1] == fakes.first_key(2)]
 
     def test_malformed_job_does_not_hide_later_ones(self):
         """Guards against jobs that are never loaded because the row of an
@@ -343,7 +334,7 @@
         seconds after its start."""
         monkeypatch.setattr(fakes, "CRASH_DELAY_MS", 11_500)
         sim = deployment(workers=6)
-        key = first_key(1)
+        key = fakes.first_key(1)
         sim.fatal_tasks.add(key)
         sim.submit(1, fakes.step(runs_until_cancelled=True))
         sim.run(150_000)
--- a/tests/scheduler/test_liveness.py
+++ b/tests/scheduler/test_liveness.py
@@ -3,16 +3,6 @@
 import scheduler_fakes as fakes
 
 from skylarklug.scheduler import events
-from skylarklug.scheduler import records
-
-
-def first_key(number, index=0):
-    return records.TaskKey(fakes.job_id(number), 0, 0, index)
-
-
-def cut(sim, worker):
-    for node in sim.nodes:
-        sim.cut_links.add((node, worker))
 
 
 class TestUnsavedEnds:
@@ -29,7 +19,7 @@
         (_, first), (_, second) = sim.running(1)
         former = sim.leader()
         # The run there ends as done before the order to stop arrives.
-        cut(sim, second)
+        sim.cut_off(second)
         sim.cancel(1)
         before = len(sim.store.commits)
 
@@ -58,7 +48,7 @@
         """Guards against ends that stay unacknowledged because the row of a
         failure that is already saved is not written again."""
         sim = deployment(nodes=2, workers=1)
-        key = first_key(1)
+        key = fakes.first_key(1)
         sim.failing_tasks.add(key)
         before = len(sim.store.commits)
         sim.submit(1, fakes.step(cpu=9_000), node="n1")
