--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -405,7 +405,7 @@
             record_commit(state, answer)
             leader.heartbeat_at = max(leader.heartbeat_at, answer.sent_at)
             leader.heartbeat_due_at = answer.sent_at + HEARTBEAT_INTERVAL_MS
-            if leader.reached_at > answer.sent_at:
+            if leader.worker_reached_at > answer.sent_at:
                 leader.heartbeat_due_at = state.now + REACHED_DELAY_MS
             return
         leader.heartbeat_due_at = state.now + HEARTBEAT_RETRY_MS
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -363,7 +363,7 @@
         saved_coefficients: Coefficients in the store, for a successor.
         successor: Node on a larger VM that asks to take over; empty for none.
         successor_capacity: Capacity of that VM, in cores.
-        reached_at: When a worker first answered, of the latest one that did.
+        worker_reached_at: When a worker last answered for the first time.
         starts_in_flight: Start orders that are not answered yet.
         entries_answered_at: When worker entries were last received.
         entries_read_at: The received entries are at least as recent as this.
@@ -377,7 +377,7 @@
         self.heartbeat_at = now
         self.successor = ""
         self.successor_capacity = 0.0
-        self.reached_at = 0
+        self.worker_reached_at = 0
         self.starts_in_flight = 0
         self.entries_answered_at = now
         self.entries_read_at = now
