Tell the store's steady clock with its answers

StoreAnswered gets store_ms as its last field; the store of the scheduler tests fills it for answers that tell it. Nothing reads it yet.

--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -81,7 +81,8 @@
 
     `status` is "ok", "conflict" (with the rows whose check failed), "refused"
     (nothing was done) or "unknown" (a commit may still take effect).
-    `sent_at` is when the call was sent.
+    `sent_at` is when the call was sent. `store_ms` is the store's steady clock
+    at the answer; 0 if the answer does not tell it.
     """
 
     at: int
@@ -90,6 +91,7 @@
     status: str
     version: int
     rows: tuple[Row, ...]
+    store_ms: int = 0
 
 
 class RowsChanged(NamedTuple):
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -32,6 +32,8 @@
 CONTACT_MS = 3_000
 # Wall-clock time in ms at the virtual time 0.
 WALL_OFFSET = 1_700_000_000_000
+# Time in ms of the store's steady clock at the virtual time 0.
+STORE_CLOCK_OFFSET = 5_000_000
 SERVICE = "hub"
 QUEUE = records.Queue(
     name="batch",
@@ -104,6 +106,12 @@
         answer = self.apply(node, effect)
         return answer if mode == "ok" else ("unknown", 0, ())
 
+    def clock_ms(self, status):
+        """Returns the steady clock in an answer; 0 if it does not tell it."""
+        if status not in ("ok", "conflict"):
+            return 0
+        return self.sim.now + STORE_CLOCK_OFFSET
+
     def is_readable(self, node):
         """Returns whether a node's reads and watches get answers."""
         return self.modes.get(node.name, "ok") not in ("refuse", "silent")
@@ -557,11 +565,12 @@
                 status, version, rows = "unknown", 0, ()
             elif status == "unknown":
                 delay = effect.timeout_ms
+            store_ms = self.store.clock_ms(status)
             self.deliver(
                 node,
                 delay,
                 lambda at: events.StoreAnswered(
-                    at, sent_at, effect.op, status, version, rows
+                    at, sent_at, effect.op, status, version, rows, store_ms
                 ),
             )
 
@@ -578,11 +587,12 @@
                 if effect.key:
                     rows = tuple(r for r in rows if r.key == effect.key)
                 answer = ("ok", self.store.version, rows)
+            store_ms = self.store.clock_ms(answer[0])
             self.deliver(
                 node,
                 STORE_DELAY_MS // 2,
                 lambda at: events.StoreAnswered(
-                    at, sent_at, effect.op, *answer
+                    at, sent_at, effect.op, *answer, store_ms
                 ),
             )
 
