Test how long tasks wait for silent workers after take-overs

Change: tests in virtual time; the simulation gets workers that no node reaches or hears, entries that have left the store, and a planned stop.

--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -457,6 +457,11 @@
         self.problems = []
         self.workers = {}
         self.cut_links = set()
+        # Workers that no node reaches, and workers whose answers all get lost.
+        self.silent_workers = set()
+        self.mute_workers = set()
+        # Workers whose entry has left the store, alive or not.
+        self.unlisted_workers = set()
         self.measurement_of = lambda sim, worker, key: 0
         # Tickets by worker; None while the advice service does not answer.
         self.offered_tickets = {}
@@ -503,6 +508,10 @@
     def kill(self, name):
         self.nodes.pop(name).alive = False
 
+    def stop(self, node):
+        """Asks a process to shut down; it exits by itself."""
+        self.dispatch(node, events.StopRequested(self.now))
+
     def pause(self, node):
         """Suspends a process: what reaches it waits until it resumes."""
         node.paused_events = []
@@ -615,8 +624,9 @@
                 node.missed.add(table)
                 return
             if table == "workers":
-                entries = tuple(w.entry() for w in self.workers.values())
-                event = events.WorkersChanged(self.now, True, entries, ())
+                event = events.WorkersChanged(
+                    self.now, True, self.entries(), ()
+                )
             else:
                 rows = self.store.table(table)
                 event = events.RowsChanged(self.now, table, True, rows)
@@ -676,6 +686,8 @@
 
         A process that is suspended reads the table when it resumes.
         """
+        if worker.name in self.unlisted_workers:
+            return
         entries = (worker.entry(),)
         for node in self.nodes.values():
             if "workers" not in node.watched:
@@ -696,11 +708,19 @@
             return False
         return self.store.is_readable(node)
 
+    def entries(self):
+        """Returns the entries that the store has now."""
+        found = []
+        for worker in self.workers.values():
+            if worker.name not in self.unlisted_workers:
+                found.append(worker.entry())
+        return tuple(found)
+
     def publish_workers(self):
         """Sends the current worker entries to all nodes."""
         for worker in self.workers.values():
             worker.published = (worker.capacity, worker.incarnation)
-        entries = tuple(w.entry() for w in self.workers.values())
+        entries = self.entries()
         for node in self.nodes.values():
             if not self.store.is_readable(node):
                 node.missed.add("workers")
@@ -736,6 +756,8 @@
             self.cut_links.add((node, worker))
 
     def can_reach(self, node, worker):
+        if worker in self.silent_workers:
+            return False
         return (node.name, worker) not in self.cut_links
 
     def on_PollWorker(self, node, effect):  # noqa: N802
@@ -808,6 +830,9 @@
                 answer(effect.timeout_ms, "unknown", "silent")
                 return
             found = getattr(worker, op)(effect)
+            if effect.worker in self.mute_workers:
+                answer(effect.timeout_ms, "unknown", "silent")
+                return
             if op == "look" and found[0] == "ok":
                 wait_ms = POLL_WAIT_MS if effect.wait_ms else 0
                 answer_poll(worker, worker.incarnation, wait_ms)
@@ -816,6 +841,10 @@
 
         def answer_poll(worker, incarnation, wait_ms):
             """Answers at the first end, or after `wait_ms`."""
+            if worker.name in self.silent_workers | self.mute_workers:
+                waited_ms = self.now - sent_at
+                answer(effect.timeout_ms - waited_ms, "unknown", "silent")
+                return
             if worker.incarnation != incarnation:
                 # The connection broke when the worker ended.
                 answer(LINK_DELAY_MS, "unknown", "broken")
