--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -32,6 +32,10 @@
 CONTACT_MS = 3_000
 # Wall-clock time in ms at the virtual time 0.
 WALL_OFFSET = 1_700_000_000_000
+# Clocks that differ do so by up to 2%, and by this much at the virtual time 0.
+CLOCK_OFFSET_MS = 700_000
+# Time in ms of the store's steady clock at the virtual time 0.
+STORE_CLOCK_OFFSET = 5_000_000
 SERVICE = "hub"
 QUEUE = records.Queue(
     name="batch",
@@ -66,6 +70,22 @@
     return records.Step(count, need, estimate_ms, **fields)
 
 
+class Clock:
+    """A steady clock, which may be slow."""
+
+    def __init__(self, sim, offset_ms=0, rate=1.0):
+        self.sim = sim
+        self.offset_ms = offset_ms
+        self.rate = rate
+
+    def now(self):
+        return self.at(self.sim.now)
+
+    def at(self, time_ms):
+        """Returns what it shows at a virtual time."""
+        return self.offset_ms + int(time_ms * self.rate)
+
+
 class Store:
     """A versioned store that can fail in a different way for each node.
 
@@ -104,6 +124,12 @@
         answer = self.apply(node, effect)
         return answer if mode == "ok" else ("unknown", 0, ())
 
+    def clock_ms(self, status):
+        """Returns the steady clock in an answer; 0 if it does not tell it."""
+        if status not in ("ok", "conflict"):
+            return 0
+        return self.sim.now + STORE_CLOCK_OFFSET
+
     def is_readable(self, node):
         """Returns whether a node's reads and watches get answers."""
         return self.modes.get(node.name, "ok") not in ("refuse", "silent")
@@ -170,6 +196,7 @@
         self.late_calls = {"look": [], "start": [], "stop": []}
         # Additional delay of each answer to a poll.
         self.poll_delay_ms = 0
+        self.clock = sim.new_clock()
         self.restart(incarnation)
 
     def restart(self, incarnation):
@@ -236,7 +263,7 @@
         )
 
     def expire(self):
-        if self.sim.now < self.lease_until:
+        if self.clock.now() < self.lease_until:
             return
         # The rules do not count a later acknowledgement of these ends.
         self.lapsed_ends.update(end.number for end in self.ends)
@@ -274,7 +301,7 @@
             return False
         self.fence = effect.epoch
         if effect.lease_until:
-            limit = self.sim.now + MAX_LEASE_MS
+            limit = self.clock.now() + MAX_LEASE_MS
             until = min(effect.lease_until, limit)
             self.lease_until = max(self.lease_until, until)
         return True
@@ -308,7 +335,7 @@
             )
         return (
             self.incarnation,
-            self.sim.now,
+            self.clock.now(),
             tuple(running),
             tuple(self.ends),
         )
@@ -317,7 +344,7 @@
         self.expire()
         if not self.accept_epoch(effect):
             return "rejected", "fence"
-        if self.sim.now >= self.lease_until:
+        if self.clock.now() >= self.lease_until:
             return "rejected", "late"
         run = self.runs.get(effect.key)
         if run is not None and run[0] == effect.attempt:
@@ -407,6 +434,7 @@
         )
         self.sim = sim
         self.name = name
+        self.clock = sim.new_clock()
         self.state = reducer.new_state(cfg, incarnation)
         self.alive = True
         # What has arrived at a paused process; None while it runs.
@@ -422,8 +450,16 @@
 class Sim:
     """The simulation. All times are in virtual milliseconds."""
 
-    def __init__(self, nodes=3, workers=4, configuration=CONFIGURATION):
+    def __init__(
+        self,
+        nodes=3,
+        workers=4,
+        configuration=CONFIGURATION,
+        clocks_differ=False,
+    ):
         self.now = 1_000
+        self.clocks_differ = clocks_differ
+        self.clock_numbers = itertools.count(1)
         self.configuration = configuration
         self.queue = []
         self.sequence = itertools.count()
@@ -449,6 +485,11 @@
         self.problems = []
         self.workers = {}
         self.cut_links = set()
+        # Workers that no node reaches, and workers whose answers all get lost.
+        self.silent_workers = set()
+        self.mute_workers = set()
+        # Workers whose entry has left the store, alive or not.
+        self.unlisted_workers = set()
         self.measurement_of = lambda sim, worker, key: 0
         # Tickets by worker; None while the advice service does not answer.
         self.offered_tickets = {}
@@ -472,6 +513,13 @@
             self.queue, (self.now + delay, next(self.sequence), call)
         )
 
+    def new_clock(self):
+        """Returns the clock of a node or a worker."""
+        if not self.clocks_differ:
+            return Clock(self)
+        number = next(self.clock_numbers)
+        return Clock(self, number * CLOCK_OFFSET_MS, 1 - number % 3 / 100)
+
     def run(self, milliseconds):
         end = self.now + milliseconds
         while self.queue and self.queue[0][0] <= end:
@@ -495,6 +543,10 @@
     def kill(self, name):
         self.nodes.pop(name).alive = False
 
+    def stop(self, node):
+        """Asks a process to shut down; it exits by itself."""
+        self.dispatch(node, events.StopRequested(node.clock.now()))
+
     def pause(self, node):
         """Suspends a process: what reaches it waits until it resumes."""
         node.paused_events = []
@@ -503,12 +555,13 @@
         held, node.paused_events = node.paused_events, None
         self.tick(node)
         for make in held:
-            self.dispatch(node, make(self.now))
+            self.dispatch(node, make(node.clock.now()))
 
     def tick(self, node):
         if not node.alive or node.paused_events is not None:
             return
-        self.dispatch(node, events.Tick(self.now, self.now + WALL_OFFSET))
+        wall_ms = self.now + WALL_OFFSET
+        self.dispatch(node, events.Tick(node.clock.now(), wall_ms))
         self.after(TICK_INTERVAL_MS, lambda: self.tick(node))
 
     def deliver(self, node, delay, make):
@@ -516,7 +569,7 @@
             if node.paused_events is not None:
                 node.paused_events.append(make)
             elif node.alive:
-                self.dispatch(node, make(self.now))
+                self.dispatch(node, make(node.clock.now()))
 
         self.after(delay, arrive)
 
@@ -557,18 +610,25 @@
                 status, version, rows = "unknown", 0, ()
             elif status == "unknown":
                 delay = effect.timeout_ms
+            store_ms = self.store.clock_ms(status)
             self.deliver(
                 node,
                 delay,
                 lambda at: events.StoreAnswered(
-                    at, sent_at, effect.op, status, version, rows
+                    at,
+                    node.clock.at(sent_at),
+                    effect.op,
+                    status,
+                    version,
+                    rows,
+                    store_ms,
                 ),
             )
 
         self.after(STORE_DELAY_MS // 2 + self.store.slow_ms, apply)
 
     def on_ReadRows(self, node, effect):  # noqa: N802
-        sent_at = self.now
+        sent_at = node.clock.now()
 
         def read():
             if not self.store.is_readable(node):
@@ -578,11 +638,12 @@
                 if effect.key:
                     rows = tuple(r for r in rows if r.key == effect.key)
                 answer = ("ok", self.store.version, rows)
+            store_ms = self.store.clock_ms(answer[0])
             self.deliver(
                 node,
                 STORE_DELAY_MS // 2,
                 lambda at: events.StoreAnswered(
-                    at, sent_at, effect.op, *answer
+                    at, sent_at, effect.op, *answer, store_ms
                 ),
             )
 
@@ -605,11 +666,13 @@
                 node.missed.add(table)
                 return
             if table == "workers":
-                entries = tuple(w.entry() for w in self.workers.values())
-                event = events.WorkersChanged(self.now, True, entries, ())
+                event = events.WorkersChanged(
+                    node.clock.now(), True, self.entries(), ()
+                )
             else:
                 rows = self.store.table(table)
-                event = events.RowsChanged(self.now, table, True, rows)
+                at = node.clock.now()
+                event = events.RowsChanged(at, table, True, rows)
             if node.paused_events is not None:
                 node.paused_events.append(lambda at: event._replace(at=at))
             elif node.alive:
@@ -622,6 +685,7 @@
         if not node.alive:
             return
         reachable = self.store.is_readable(node)
+        at = node.clock.now()
         if reachable and node.paused_events is None:
             for table in sorted(node.watched):
                 if table in node.hung_tables:
@@ -629,15 +693,15 @@
                 if table in node.missed:
                     self.watch_table(node, table)
                 elif table == "workers":
-                    event = events.WorkersChanged(self.now, False, (), ())
+                    event = events.WorkersChanged(at, False, (), ())
                     self.dispatch(node, event)
                 else:
-                    event = events.RowsChanged(self.now, table, False, ())
+                    event = events.RowsChanged(at, table, False, ())
                     self.dispatch(node, event)
             node.missed &= node.hung_tables
         elif node.paused_events is None:
             for table in sorted(node.watched):
-                self.dispatch(node, events.FeedFailed(self.now, table))
+                self.dispatch(node, events.FeedFailed(at, table))
         self.after(WATCH_POLL_MS, lambda: self.poll_watches(node))
 
     def publish_changes(self, changed):
@@ -666,6 +730,8 @@
 
         A process that is suspended reads the table when it resumes.
         """
+        if worker.name in self.unlisted_workers:
+            return
         entries = (worker.entry(),)
         for node in self.nodes.values():
             if "workers" not in node.watched:
@@ -686,11 +752,19 @@
             return False
         return self.store.is_readable(node)
 
+    def entries(self):
+        """Returns the entries that the store has now."""
+        found = []
+        for worker in self.workers.values():
+            if worker.name not in self.unlisted_workers:
+                found.append(worker.entry())
+        return tuple(found)
+
     def publish_workers(self):
         """Sends the current worker entries to all nodes."""
         for worker in self.workers.values():
             worker.published = (worker.capacity, worker.incarnation)
-        entries = tuple(w.entry() for w in self.workers.values())
+        entries = self.entries()
         for node in self.nodes.values():
             if not self.store.is_readable(node):
                 node.missed.add("workers")
@@ -726,6 +800,8 @@
             self.cut_links.add((node, worker))
 
     def can_reach(self, node, worker):
+        if worker in self.silent_workers:
+            return False
         return (node.name, worker) not in self.cut_links
 
     def on_PollWorker(self, node, effect):  # noqa: N802
@@ -751,7 +827,10 @@
                     node,
                     delay,
                     lambda at: events.WorkerPolled(
-                        at, sent_at, effect.worker, *poll_answer
+                        at,
+                        node.clock.at(sent_at),
+                        effect.worker,
+                        *poll_answer,
                     ),
                 )
                 return
@@ -760,7 +839,7 @@
                 delay,
                 lambda at: events.OrderAnswered(
                     at,
-                    sent_at,
+                    node.clock.at(sent_at),
                     effect.worker,
                     op,
                     key,
@@ -798,6 +877,9 @@
                 answer(effect.timeout_ms, "unknown", "silent")
                 return
             found = getattr(worker, op)(effect)
+            if effect.worker in self.mute_workers:
+                answer(effect.timeout_ms, "unknown", "silent")
+                return
             if op == "look" and found[0] == "ok":
                 wait_ms = POLL_WAIT_MS if effect.wait_ms else 0
                 answer_poll(worker, worker.incarnation, wait_ms)
@@ -806,6 +888,10 @@
 
         def answer_poll(worker, incarnation, wait_ms):
             """Answers at the first end, or after `wait_ms`."""
+            if worker.name in self.silent_workers | self.mute_workers:
+                waited_ms = self.now - sent_at
+                answer(effect.timeout_ms - waited_ms, "unknown", "silent")
+                return
             if worker.incarnation != incarnation:
                 # The connection broke when the worker ended.
                 answer(LINK_DELAY_MS, "unknown", "broken")
@@ -839,7 +925,7 @@
                 return
             if worker.incarnation != incarnation:
                 return
-            if op == "start" and self.now >= effect.lease_until:
+            if op == "start" and worker.clock.now() >= effect.lease_until:
                 return
             getattr(worker, op)(effect)
 
@@ -980,7 +1066,8 @@
     def call(self, kind, job, node, *fields, prefix=QUEUE.prefix):
         req = f"q{next(self.sequence)}"
         target = self.nodes[node or min(self.nodes)]
-        event = kind(self.now, req, QUEUE.host, prefix + job, *fields, 3_000)
+        at = target.clock.now()
+        event = kind(at, req, QUEUE.host, prefix + job, *fields, 3_000)
         self.dispatch(target, event)
         return req
 
