Wait only for runs that a silent worker may still have

Cause: a new leader held every task of a begun job that no worker reported until all workers of the roster had answered or a whole lease (6.6 s; 10.2 s after a crash) had passed since it took over. A worker that had left never answers, and was in the roster until its lease had ended under one settled leader, so each leader of a series began the wait anew. A listed worker that never answered and had had no order did the same to each take-over.

Change: - A worker enters the roster once it has answered, and leaves it as soon as it cannot run anything: it runs nothing and is unlisted or drains, or its last lease has ended. - The row handover/leases tells when the last lease of each silent worker ends, on the store's clock, and which tasks may run there. The leader renews no lease of such a worker and starts nothing on it before the row is changed, so the time holds for all later leaders. A stopping leader records the end of all its leases and the jobs whose rows lag behind, in the commit that releases. Leaders of earlier builds do not keep the row; `leases_since` in the owner's row shows since when all have. - A task waits only while a silent worker may run it. Steps that wait for a task that still runs, or that a complete row shows as waiting, have no runs.

test_end_of_a_closed_job_is_acknowledged has one node now: it asks that the same node leads after an outage of the store, which with three nodes depends on the phase of their polls.

--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -15,6 +15,8 @@
 from skylarklug.scheduler import state as state_lib
 
 TABLE = "jobs"
+# What a leader has to read before it creates the tasks of jobs.
+PROGRESS_TABLES = frozenset({"work", "leases"})
 # A commit records the start of a timed job this long before it is due, so that
 # its tasks can start on time.
 RECORD_AHEAD_MS = 1_000
@@ -81,7 +83,7 @@
 
 def _process_rows(state, effects):
     leader = state.leader
-    if "work" not in leader.loaded:
+    if not leader.loaded >= PROGRESS_TABLES:
         return
     rows, leader.job_rows = leader.job_rows, []
     for row in rows:
@@ -218,12 +220,10 @@
     if due:
         not_before = due + START_MARGIN_MS - state.wall_offset
     leader = state.leader
-    held_until = (
-        leader.settled_at if job.start_recorded and not leader.settled else 0
-    )
     for number, step in enumerate(job.spec.steps):
         done = job.done.setdefault((occurrence, number), set())
         job.remaining[occurrence, number] = step.count - len(done)
+        held = _may_have_runs(leader, job, occurrence, step)
         for index in range(step.count):
             if index in done:
                 continue
@@ -234,7 +234,7 @@
                 task.crashes = job.crashes[key]
                 crashes.watch(leader, task)
             task.not_before = not_before
-            task.held_until = held_until
+            task.held = held
             task.waiting_since = _accepted_at(state, job, due)
             task.speed_wanted_since = task.waiting_since
             job.tasks[key] = task
@@ -243,6 +243,37 @@
             _enqueue_step(leader, job, occurrence, number)
 
 
+def _may_have_runs(leader, job, occurrence, step):
+    """Returns whether a former leader may have started tasks of a step."""
+    if leader.settled or not job.start_recorded:
+        return False
+    if leader.unsaved_jobs is None or job.spec.job in leader.unsaved_jobs:
+        # It may have started the step before the end of an earlier one was
+        # saved.
+        return True
+    return _is_ready(job, occurrence, step)
+
+
+def release_later_steps(job, key):
+    """Lets the steps that wait for a task start once it is done.
+
+    Called for a task that still runs, so no former leader has started them.
+    """
+    waiting = {key.step}
+    for number, step in enumerate(job.spec.steps):
+        if waiting.isdisjoint(step.after):
+            continue
+        waiting.add(number)
+        for index in range(step.count):
+            later = records.TaskKey(key.job, key.occurrence, number, index)
+            task = job.tasks.get(later)
+            if task is None:
+                continue
+            if not task.held:
+                break
+            task.held = False
+
+
 def _is_ready(job, occurrence, step):
     for dependency in step.after:
         if job.remaining.get((occurrence, dependency), 0):
--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -2,6 +2,7 @@
 
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
+from skylarklug.scheduler import leases
 from skylarklug.scheduler import state as state_lib
 from skylarklug.scheduler import store
 
@@ -41,15 +42,13 @@
 REACHED_DELAY_MS = 30
 # Delay before the next heartbeat after a failed one.
 HEARTBEAT_RETRY_MS = 250
-# Maximum relative rate difference of two clocks, from the platform's protocol.
-CLOCK_DRIFT = 0.02
 # Margin that is added to the expiry time of a lease.
 LEASE_MARGIN_MS = 500
 # Interval at which worker entries are read again, although nothing changed, so
 # that a leader knows how old they are.
 ENTRY_READ_INTERVAL_MS = 1_000
 # Tables that a leader reads before its state is complete.
-REQUIRED_TABLES = frozenset({"jobs", "work", "roster"})
+REQUIRED_TABLES = frozenset({"jobs", "work", "roster", "leases"})
 
 
 def is_loaded(leader) -> bool:
@@ -92,7 +91,7 @@
 
 def lease_ms(cfg) -> int:
     """Returns how long, on our clock, a lease may last after it was sent."""
-    return int(cfg.max_lease_ms * (1 + CLOCK_DRIFT)) + LEASE_MARGIN_MS
+    return int(cfg.max_lease_ms * (1 + leases.CLOCK_DRIFT)) + LEASE_MARGIN_MS
 
 
 def record_commit(state, answer) -> None:
@@ -143,6 +142,7 @@
 
 
 def _owner_value(state, epoch, released, successor=""):
+    former = state.owner or {}
     value = {
         "node": state.cfg.node,
         "incarnation": state.cfg.incarnation,
@@ -150,6 +150,9 @@
         "released": released,
         "capacity": state.cfg.capacity,
         "largest": max(state.cfg.capacity, _largest_capacity(state)),
+        # Leaders of earlier builds do not keep the row of leases, and do not
+        # pass this field on.
+        "leases_since": former.get("leases_since", epoch),
     }
     if successor:
         value["successor"] = successor
@@ -373,23 +376,61 @@
             store.read(state, effects, TABLE, ROSTER, on_roster)
             return
         for row in answer.rows:
-            leader.former_workers = _decode_roster(row.value)
+            leader.former_workers = _decode_roster(row.value, leader.settled_at)
             leader.roster_version = row.version
         leader.loaded.add("roster")
+        # The ends of leases refer to the workers of the roster.
+        store.read(state, effects, leases.TABLE, leases.KEY, on_leases)
+
+    def on_leases(state, effects, answer):
+        if state.leader is not leader:
+            return
+        if answer.status != "ok":
+            store.read(state, effects, leases.TABLE, leases.KEY, on_leases)
+            return
+        for row in answer.rows:
+            _shorten_waits(
+                state, effects, leader, store.clock_reading(answer), row
+            )
+        leader.loaded.add("leases")
 
     store.read(state, effects, "work", "", on_work)
     store.read(state, effects, TABLE, ROSTER, on_roster)
 
 
-def _decode_roster(value) -> dict[str, list[str]]:
-    """Returns address, service and zone by worker; skips malformed entries."""
+def _decode_roster(value, settled_at) -> dict[str, leases.FormerWorker]:
+    """Returns the roster's workers; skips malformed entries."""
+    expiry = leases.Expiry(settled_at, None)
     roster = {}
     for name, entry in value.items():
         if isinstance(entry, list) and len(entry) == 3:
-            roster[name] = entry
+            roster[name] = leases.FormerWorker(*entry, expiry)
     return roster
 
 
+def _shorten_waits(state, effects, leader, reading, row):
+    """Applies what the former leaders have recorded on the ends of leases."""
+    since_epoch = state.owner.get("leases_since", leader.epoch)
+    try:
+        expiries, former_release = leases.decode(
+            reading, row.value, leader.epoch, since_epoch
+        )
+    except (AttributeError, KeyError, TypeError, ValueError):
+        fields = {"key": row.key}
+        effects.append(fx.Log("error", "row-unreadable", fields))
+        return
+    for name, former in leader.former_workers.items():
+        expiry = expiries.get(name)
+        if expiry is None and former_release is not None:
+            expiry = former_release.leases
+        if expiry is not None:
+            leader.former_workers[name] = former._replace(expiry=expiry)
+    if former_release is not None:
+        leader.unsaved_jobs = former_release.unsaved_jobs
+    leader.expiring = frozenset(expiries)
+    leader.expiries_saved = leader.expiring
+
+
 # --------------------------------------------------------------- heartbeats
 
 
@@ -442,8 +483,11 @@
 # ------------------------------------------------------------------ release
 
 
-def release(state, effects, done, successor=""):
-    """Releases the leadership, so that another node can claim it at once."""
+def release(state, effects, done, successor="", writes=()):
+    """Releases the leadership, so that another node can claim it at once.
+
+    `writes` are rows to store together with the release.
+    """
     leader = state.leader
     step_down(state, effects, "released")
     value = _owner_value(state, leader.epoch, True, successor)
@@ -453,7 +497,7 @@
         state,
         effects,
         [owner_check(leader)],
-        [fx.Write(TABLE, OWNER, value)],
+        [fx.Write(TABLE, OWNER, value), *writes],
         done,
     )
 
--- a/packages/core/src/skylarklug/scheduler/lifecycle.py
+++ b/packages/core/src/skylarklug/scheduler/lifecycle.py
@@ -9,8 +9,8 @@
 from skylarklug.scheduler import capacity
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
-from skylarklug.scheduler import leadership
 from skylarklug.scheduler import rejection
+from skylarklug.scheduler import roster
 
 # The load balancer stops sending new connections after two failed health
 # checks, which are a second apart. Open requests can then finish.
@@ -94,7 +94,7 @@
             fields = {"status": answer.status}
             effects.append(fx.Log("info", "leadership-released", fields))
 
-        leadership.release(state, effects, done)
+        roster.release(state, effects, done)
 
 
 def _on_tick(state, event, effects):
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -423,6 +423,8 @@
 def _repeat_start(state, effects, task, worker):
     if not may_start_more(state.leader):
         return
+    if worker.name in state.leader.expiring:
+        return
     enforced = capacity.is_enforced(state, worker.entry.service)
     if not enforced and not capacity.is_current(state, worker):
         return
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -20,6 +20,7 @@
 from skylarklug.scheduler import orders
 from skylarklug.scheduler import preemption
 from skylarklug.scheduler import records
+from skylarklug.scheduler import roster
 from skylarklug.scheduler import scoring
 from skylarklug.scheduler import state as state_lib
 from skylarklug.scheduler import waiting
@@ -53,6 +54,8 @@
             continue
         if leader.roster_saved.get(worker.name) != entry.address:
             continue
+        if worker.name in leader.expiring:
+            continue
         if (
             not worker.is_responsive(state.now)
             or state.now < worker.backoff_until
@@ -190,7 +193,7 @@
     if task.not_before > state.now:
         task.wait_reason = waiting.DELAYED
         return False
-    if task.held_until > state.leader.confirmed_at:
+    if task.held and roster.may_still_run(state.leader, task.key):
         task.wait_reason = waiting.NOT_SETTLED
         return False
     if not crashes.may_start(state.leader, task):
--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -1,35 +1,49 @@
-"""The workers that leaders have used, in a row for their successors.
+"""The workers that may hold runs, in a row for later leaders.
 
-A new leader asks each of them what it runs, and waits for the leases of those
-that do not answer before it starts tasks that may still run there.
+A worker is in the roster before its first order. It leaves the roster when it
+cannot run anything: it is unlisted or drains, and runs nothing, or its last
+lease has ended. A new leader asks each worker of the roster what it runs.
+Until a worker has answered, or its last lease has ended, the tasks that may
+still run there are not started elsewhere.
 """
 
 from skylarklug.scheduler import crashes
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
+from skylarklug.scheduler import leases
 from skylarklug.scheduler import records
 from skylarklug.scheduler import state as state_lib
 from skylarklug.scheduler import store
 
-# Interval at which workers that have left are removed from the roster. A new
-# leader waits for the answers of all workers in it.
+# Interval at which the roster is saved if workers only leave it.
 ROSTER_SHRINK_INTERVAL_MS = 1_000
+# Delay of the first poll that renews the leases of a worker again, unless the
+# roster has been saved before.
+UNEXPIRED_POLL_DELAY_MS = 200
 # Delay before a failed commit of the roster is repeated.
 ROSTER_RETRY_MS = 200
+# Interval at which the roster is compared with the workers.
+ROSTER_CHECK_INTERVAL_MS = 100
+# A new leader records the ends of leases of listed workers that have not
+# answered it for this long.
+FIRST_ANSWER_MS = 1_000
+# The same for workers that have answered it. A worker whose last lease is
+# recorded gets the next one only after a commit, and the store may be away.
+SILENT_WORKER_MS = 2_500
 
 
 def add_former_workers(state):
     """Adds workers that former leaders used but that are no longer listed."""
     leader = state.leader
-    for name, (address, service, zone) in leader.former_workers.items():
+    for name, former in leader.former_workers.items():
         if name in leader.workers:
             continue
         entry = records.WorkerEntry(
             worker=name,
-            service=service,
-            address=address,
-            zone=zone,
+            service=former.service,
+            address=former.address,
+            zone=former.zone,
             draining=True,
             remaining_ms=-1,
             capacity=records.Resources(0, 0, 0),
@@ -42,58 +56,172 @@
         leader.workers[name] = worker
 
 
-def end_settling(state, effects):
-    """Ends the wait for unreported runs of former leaders."""
+# ---------------------------------------------------------------- settling
+
+
+def may_still_run(leader, key) -> bool:
+    """Returns whether a worker that has not answered may run a task."""
+    for former in leader.former_workers.values():
+        if former.expiry.tasks is None or key in former.expiry.tasks:
+            return True
+    return False
+
+
+def settle(state, effects):
+    """Ends the wait for workers that have answered or hold no lease.
+
+    The leader has settled when no worker is left.
+    """
     leader = state.leader
-    unreached = []
-    for name, (address, _, _) in leader.former_workers.items():
-        worker = leader.workers.get(name)
-        if worker is None or worker.fenced:
-            continue
+    for name, former in list(leader.former_workers.items()):
+        worker = leader.workers[name]
         # Former leaders sent no order to another address than that in the
         # roster. The list of workers may be older.
-        if worker.replaced and worker.entry.address == address:
-            continue
-        unreached.append(name)
-    # As for single leases, a commit sent after their end proves that no other
-    # leader has renewed them.
-    if unreached and leader.confirmed_at < leader.settled_at:
+        is_gone = worker.replaced and worker.entry.address == former.address
+        if not worker.fenced and not is_gone:
+            # A commit sent after the lease had ended proves that no other
+            # leader has renewed it.
+            if leader.confirmed_at < former.expiry.at:
+                if state.now < former.expiry.at:
+                    leader.heartbeat_due_at = min(
+                        leader.heartbeat_due_at, former.expiry.at
+                    )
+                continue
+            leader.unreached.append(name)
+        del leader.former_workers[name]
+        leader.placement_requested = True
+    if leader.former_workers:
         return
     leader.settled = True
-    leader.former_workers = {}
     exhausted = []
     for job in leader.jobs.values():
         for task in job.tasks.values():
-            task.held_until = 0
+            task.held = False
             if not task.worker and crashes.is_exhausted(task):
                 exhausted.append(task)
     for task in exhausted:
         jobs.fail_job(state, effects, task.job, crashes.describe(task))
     leader.placement_requested = True
-    fields = {"epoch": leader.epoch, "unreached": unreached}
+    fields = {"epoch": leader.epoch, "unreached": leader.unreached}
     effects.append(fx.Log("info", "settled", fields))
 
 
+# ----------------------------------------------------------------- contents
+
+
+def lease_ends_at(state, worker) -> int:
+    """Returns when the last lease of a worker that has answered has ended."""
+    granted_at = max(worker.lease_granted_at, worker.answered_at)
+    return granted_at + leadership.lease_ms(state.cfg)
+
+
+def _may_hold_runs(state, worker):
+    """Returns whether a worker may run something now or soon."""
+    leader = state.leader
+    if worker.name in leader.former_workers:
+        return True
+    if worker.runs or worker.unwanted_runs or worker.has_unknown_run:
+        return True
+    if not worker.answered_at:
+        # It has had no order.
+        return False
+    if not worker.listed or worker.entry.draining:
+        return False
+    return leader.confirmed_at < lease_ends_at(state, worker)
+
+
+def _is_silent(state, worker, stopping):
+    """Returns whether it is worth recording when a worker's leases end."""
+    if stopping and not worker.listed:
+        return True
+    if worker.fenced and not worker.failed_polls:
+        return False
+    if stopping or not worker.listed:
+        return True
+    if worker.name in state.leader.former_workers:
+        return state.now >= state.leader.since + FIRST_ANSWER_MS
+    return state.now >= worker.answered_at + SILENT_WORKER_MS
+
+
+def _expiry(state, worker):
+    """Returns when the last lease of a worker ends, and what may run there."""
+    former = state.leader.former_workers.get(worker.name)
+    if former is not None:
+        return former.expiry
+    tasks = None
+    if not worker.unwanted_runs and not worker.has_unknown_run:
+        tasks = frozenset(worker.runs)
+    return leases.Expiry(lease_ends_at(state, worker), tasks)
+
+
+def _contents(state, stopping=False):
+    """Returns the workers of the roster, and expiries of the silent ones.
+
+    A leader that is stopping renews no more leases, so workers count as silent
+    after one failed poll, or if they are not listed.
+    """
+    kept = []
+    expiries = {}
+    for worker in state.leader.workers.values():
+        if not _may_hold_runs(state, worker):
+            continue
+        kept.append(worker)
+        if _is_silent(state, worker, stopping):
+            expiries[worker.name] = _expiry(state, worker)
+    return kept, expiries
+
+
+def _encode_expiries(state, expiries, release=None):
+    reading = state.store_clock
+    if not reading.store_ms:
+        expiries, release = {}, None
+    return leases.encode(reading, state.leader.epoch, expiries, release)
+
+
+# ------------------------------------------------------------------- saving
+
+
 def save(state, effects):
     """Saves the roster, so that a worker is in it before its first order.
 
     A worker that has restarted at another address gets no order there before.
     """
     leader = state.leader
-    addresses = {w.name: w.entry.address for w in leader.workers.values()}
-    if addresses == leader.roster_saved or leader.roster_saving:
+    if leader.roster_saving or state.now < leader.roster_due_at:
         return
-    if addresses.items() < leader.roster_saved.items():
-        # Not urgent: a successor only asks workers in vain that have left.
-        if state.now < leader.roster_saved_at + ROSTER_SHRINK_INTERVAL_MS:
-            return
-    if state.now < leader.roster_due_at:
+    if not leader.roster_changed and state.now < leader.roster_check_at:
         return
+    leader.roster_changed = False
+    leader.roster_check_at = state.now + ROSTER_CHECK_INTERVAL_MS
+    kept, expiries = _contents(state)
+    addresses = {worker.name: worker.entry.address for worker in kept}
+    expiring = frozenset(expiries)
+    if addresses == leader.roster_saved and expiring == leader.expiries_saved:
+        return
+    due_at = leader.roster_saved_at + ROSTER_SHRINK_INTERVAL_MS
+    if state.now < due_at and not _is_urgent(leader, addresses, expiring):
+        return
+    _commit(state, effects, kept, addresses, expiries)
+
+
+def _is_urgent(leader, addresses, expiring):
+    """Returns whether a worker needs the commit for a start or a lease."""
+    if leader.expiries_saved is None or leader.expiries_saved - expiring:
+        return True
+    return not addresses.items() <= leader.roster_saved.items()
+
+
+def _commit(state, effects, kept, addresses, expiries):
+    leader = state.leader
     leader.roster_saving = True
-    value = {}
-    for worker in leader.workers.values():
+    expiring = frozenset(expiries)
+    # Whether or not the commit succeeds.
+    leader.expiring |= expiring
+    leader.expiries_saved = None
+    roster = {}
+    for worker in kept:
         entry = worker.entry
-        value[worker.name] = [entry.address, entry.service, entry.zone]
+        roster[worker.name] = [entry.address, entry.service, entry.zone]
 
     def done(state, effects, answer):
         if state.leader is not leader:
@@ -104,8 +232,15 @@
             leader.roster_version = answer.version
             leader.roster_saved = addresses
             leader.roster_saved_at = state.now
+            for name in leader.expiring - expiring:
+                # It has waited for this commit to get a lease.
+                if name in leader.workers:
+                    leader.workers[name].poll_due_at = state.now
+            leader.expiries_saved = expiring
+            leader.expiring = expiring
             leader.placement_requested = True
             return
+        leader.roster_changed = True
         leader.roster_due_at = state.now + ROSTER_RETRY_MS
         if answer.status != "conflict":
             return
@@ -124,6 +259,35 @@
                 leadership.TABLE, leadership.ROSTER, leader.roster_version
             ),
         ],
-        [fx.Write(leadership.TABLE, leadership.ROSTER, value)],
+        [
+            fx.Write(leadership.TABLE, leadership.ROSTER, roster),
+            fx.Write(
+                leases.TABLE, leases.KEY, _encode_expiries(state, expiries)
+            ),
+        ],
         done,
     )
+
+
+def release(state, effects, done, successor=""):
+    """Releases the leadership, with the ends of all leases it has granted."""
+    leader = state.leader
+    writes = []
+    if leadership.is_loaded(leader):
+        kept, expiries = _contents(state, stopping=True)
+        for name in leader.roster_saved.keys() - {w.name for w in kept}:
+            expiries[name] = leases.Expiry(state.now, frozenset())
+        value = _encode_expiries(state, expiries, _release_record(state))
+        writes.append(fx.Write(leases.TABLE, leases.KEY, value))
+    leadership.release(state, effects, done, successor, writes)
+
+
+def _release_record(state):
+    leader = state.leader
+    until = state.now + leadership.lease_ms(state.cfg)
+    if not leader.settled:
+        # A run that this leader does not know may have begun a later step.
+        until = max(until, leader.settled_at)
+        return leases.Release(leases.Expiry(until, None), None)
+    unsaved = frozenset(leader.dirty) | leader.saving
+    return leases.Release(leases.Expiry(until, None), unsaved)
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -3,6 +3,7 @@
 import random
 from typing import Any
 
+from skylarklug.scheduler import leases
 from skylarklug.scheduler import records
 
 WAITING = "waiting"
@@ -31,8 +32,8 @@
         checkpoint: Latest checkpoint; empty for none.
         worker: Worker of the current run; empty for none.
         not_before: Earliest time of the next start.
-        held_until: Until when a run started by a former leader may still
-            exist on an unreachable worker; the task is not started earlier.
+        held: Whether a former leader may have started it; then it is not
+            started while a run may exist on a worker that does not answer.
         avoided_workers: Workers on which the task failed.
         ordered_at: When the latest start or stop was sent.
         order_count: How often the current start or stop was sent.
@@ -75,7 +76,7 @@
         "failures",
         "full_speed_cpu",
         "measurement",
-        "held_until",
+        "held",
         "job",
         "key",
         "listed_at",
@@ -112,7 +113,7 @@
         self.checkpoint = ""
         self.worker = ""
         self.not_before = 0
-        self.held_until = 0
+        self.held = False
         self.avoided_workers: set[str] = set()
         self.ordered_at = 0
         self.order_count = 0
@@ -356,8 +357,16 @@
         short_task_demand: Moving average of the share of all CPU that short
             tasks request.
         work_rows: Rows of `work` whose jobs have not been loaded.
-        former_workers: Workers that former leaders may have used.
+        former_workers: Workers on which a run of a former leader may exist
+            that no worker has reported.
+        unsaved_jobs: The jobs whose rows did not show all ends of their runs
+            when the former leader stopped; None if any may be one.
+        unreached: Former workers whose leases ended without an answer.
         roster_saved: Address by worker, as in the committed roster.
+        roster_changed: Whether a worker has answered that may need an entry.
+        expiries_saved: Workers for which the store has the end of the last
+            lease; None if that is not known.
+        expiring: The same or more: workers that get no lease and no start.
         estimates: Load estimates and interference coefficients by serving
             image.
         saved_coefficients: Coefficients in the store, for a successor.
@@ -412,8 +421,14 @@
         self.roster_saved_at = 0
         self.roster_saving = False
         self.roster_due_at = 0
+        self.roster_check_at = 0
         self.roster_version = 0
-        self.former_workers: dict[str, Any] = {}
+        self.former_workers: dict[str, leases.FormerWorker] = {}
+        self.unsaved_jobs: frozenset[str] | None = None
+        self.unreached: list[str] = []
+        self.roster_changed = False
+        self.expiries_saved: frozenset[str] | None = frozenset()
+        self.expiring: frozenset[str] = frozenset()
         self.estimates: dict[str, Any] = {}
         self.saved_coefficients: dict[str, Any] = {}
         self.handover_read = False
@@ -455,6 +470,8 @@
         # When the store last served this node, and when it last did so after
         # a time in which it may have been away.
         self.store_served_at = 0
+        # Latest reading of the store's clock.
+        self.store_clock = leases.ClockReading(0, 0, 0)
         self.store_returned_at = 0
         # Latest known state by job, oldest first.
         self.known_states: dict[str, str] = {}
--- a/packages/core/src/skylarklug/scheduler/store.py
+++ b/packages/core/src/skylarklug/scheduler/store.py
@@ -2,6 +2,7 @@
 
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
+from skylarklug.scheduler import leases
 
 # Default time limit of a transaction.
 COMMIT_TIMEOUT_MS = 1_000
@@ -26,7 +27,14 @@
     effects.append(fx.ReadRows(op, table, key, timeout_ms))
 
 
+def clock_reading(answer) -> leases.ClockReading:
+    """Returns the reading of the store's clock in an answer."""
+    return leases.ClockReading(answer.store_ms, answer.sent_at, answer.at)
+
+
 def _on_answer(state, event, effects):
+    if event.status == "ok" and event.store_ms:
+        state.store_clock = clock_reading(event)
     callback = state.callbacks.pop(event.op, None)
     if callback is not None:
         callback(state, effects, event)
--- a/packages/core/src/skylarklug/scheduler/succession.py
+++ b/packages/core/src/skylarklug/scheduler/succession.py
@@ -8,6 +8,7 @@
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import leadership
+from skylarklug.scheduler import roster
 from skylarklug.scheduler import store
 
 # Delay before a node asks, and the random part of it.
@@ -79,7 +80,7 @@
         fields = {"status": answer.status, "successor": leader.successor}
         effects.append(fx.Log("info", "leadership-released", fields))
 
-    leadership.release(state, effects, done, leader.successor)
+    roster.release(state, effects, done, leader.successor)
     # Until the release is answered, the stored owner is still this node.
     state.claim_due_at = state.now + leadership.SUCCESSOR_HEAD_START_MS
 
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -174,7 +174,8 @@
     worker.poll_pending = True
     lease_until = 0
     wait_ms = 0
-    if worker.is_responsive(state.now) and not worker.failed_polls:
+    is_answering = worker.is_responsive(state.now) and not worker.failed_polls
+    if is_answering and worker.name not in state.leader.expiring:
         # An unresponsive worker gets no new lease, so that its tasks can be
         # restarted elsewhere as early as possible.
         lease_until = worker.clock_now(state.now) + state.cfg.max_lease_ms
@@ -243,7 +244,10 @@
     if first_answer:
         _log_worker(state, effects, worker, "reached")
         leader.placement_requested = True
+        leader.roster_changed = True
         worker.poll_due_at = state.now
+        if worker.name in leader.expiring:
+            worker.poll_due_at += roster.UNEXPIRED_POLL_DELAY_MS
     elif worker.unsaved_ends:
         worker.poll_due_at = state.now + UNSAVED_POLL_PAUSE_MS
     else:
@@ -326,7 +330,9 @@
             task.running_since = state.now
             task.adopted = True
             task.listed_at = 0
-            task.held_until = 0
+            task.held = False
+            if not leader.settled:
+                jobs.release_later_steps(job, task.key)
             task.pace_confirmed = False
             _update_run(state, task, report)
             orders.mark_started(leader, job)
@@ -403,7 +409,6 @@
     roster.add_former_workers(state)
     if not leadership.may_send_orders(state):
         return
-    lease_duration_ms = leadership.lease_ms(state.cfg)
     silent = [w for w in leader.workers.values() if _is_suspicious(state, w)]
     if len(silent) <= max(1, crashes.MAX_SILENT_SHARE * len(leader.workers)):
         for worker in silent:
@@ -413,10 +418,7 @@
             _poll(state, effects, worker)
         # Only a commit sent after the lease expired proves that no other
         # leader has renewed the lease in the meantime.
-        lease_ends_at = (
-            max(worker.lease_granted_at, worker.answered_at) + lease_duration_ms
-        )
-        if leader.confirmed_at < lease_ends_at:
+        if leader.confirmed_at < roster.lease_ends_at(state, worker):
             continue
         if worker.runs:
             _record_crash(state, effects, worker, lost=True, proven=False)
@@ -426,9 +428,9 @@
             _mark_run_lost(state, effects, worker, task, "lease ended", since)
         if not worker.listed and worker.name not in leader.former_workers:
             del leader.workers[worker.name]
-    roster.save(state, effects)
     if not leader.settled:
-        roster.end_settling(state, effects)
+        roster.settle(state, effects)
+    roster.save(state, effects)
 
 
 HANDLERS = {
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -29,7 +29,8 @@
     """Adapters that connect the scheduler to external services.
 
     Attributes:
-        store: Has `commit`, `read_row`, `scan`, `changes`, `report_wave`.
+        store: Has `commit`, `read_row`, `scan`, `changes`, `report_wave` and
+            `clock_ms`, the store's clock in its latest answer.
         workers: Has `poll`, `start`, `stop`, `pace`.
         callers: Has `answer`, `set_ready`, `close`.
         advice: Has `request`.
@@ -281,8 +282,13 @@
         self._meters.record(
             "skylarklug.store.duration", (now - sent_at) / 1000, attributes
         )
+        # It may be that of a later answer, but was read after `sent_at` and
+        # before `now`.
+        store_ms = self._ports.store.clock_ms
         self.dispatch(
-            events.StoreAnswered(now, sent_at, op, status, version, tuple(rows))
+            events.StoreAnswered(
+                now, sent_at, op, status, version, tuple(rows), store_ms
+            )
         )
 
     def _poll_worker(self, effect):
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -3,6 +3,8 @@
 import heapq
 import itertools
 
+import orjson
+
 from skylarklug.scheduler import events
 from skylarklug.scheduler import records
 from skylarklug.scheduler import reducer
@@ -151,7 +153,9 @@
         changed = []
         for write in effect.writes:
             row_key = (write.table, write.key)
-            row = events.Row(*row_key, self.version, write.value)
+            # Rows are stored as JSON.
+            value = orjson.loads(orjson.dumps(write.value))
+            row = events.Row(*row_key, self.version, value)
             if write.value is None:
                 self.rows.pop(row_key, None)
             else:
--- a/tests/scheduler/test_liveness.py
+++ b/tests/scheduler/test_liveness.py
@@ -10,7 +10,7 @@
         """Guards against a worker whose ends are never acknowledged again,
         because a crash made a closed job unsaved and it was removed before the
         next commit."""
-        sim = deployment(workers=2)
+        sim = deployment(nodes=1, workers=2)
         sim.names_return = True
         for worker in sim.workers.values():
             worker.run_ms = 2_000
