--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import os
 
 from skylarklug.scheduler import events
 from skylarklug.scheduler import records
@@ -51,6 +52,15 @@
 CONFIGURATION = records.Configuration(1, {"batch": QUEUE})
 
 
+def random_seeds(default_seeds):
+    """Returns the seeds to play, from the environment if it names a range."""
+    text = os.environ.get("RANDOM_FAULT_SEEDS")
+    if text is None:
+        return default_seeds
+    first, _, end = text.partition("-")
+    return range(int(first), int(end))
+
+
 def job_id(number):
     return f"{number:016x}"
 
@@ -191,9 +201,12 @@
         self.lost_starts = 0
         # Number of starts to execute without sending an answer.
         self.unanswered_starts = 0
-        # Delays of the next calls that get no answer and are executed late, by
-        # the kind of call ("look", "start" or "stop").
+        # Delays of the next calls that are executed late, by the kind of call
+        # ("look", "start" or "stop").
         self.late_calls = {"look": [], "start": [], "stop": []}
+        # Whether those get no answer. Otherwise they are executed twice, and
+        # the first execution is answered.
+        self.late_calls_only_late = False
         # Additional delay of each answer to a poll.
         self.poll_delay_ms = 0
         self.clock = sim.new_clock()
@@ -867,6 +880,9 @@
             if worker.late_calls.get(op):
                 delay = worker.late_calls[op].pop(0)
                 self.execute_late(worker, op, effect, delay)
+                if worker.late_calls_only_late:
+                    answer(effect.timeout_ms, "unknown", "silent")
+                    return
             if op == "start" and worker.lost_starts:
                 worker.lost_starts -= 1
                 answer(effect.timeout_ms, "unknown", "silent")
@@ -913,7 +929,7 @@
         self.after(LINK_DELAY_MS, arrive)
 
     def execute_late(self, worker, op, effect, delay):
-        """Executes a call without an answer after newer ones.
+        """Executes a call after newer ones; that is not answered.
 
         A start whose lease has ended by then is rejected. A restart of the
         worker drops the call.
--- a/tests/scheduler/test_random_faults.py
+++ b/tests/scheduler/test_random_faults.py
@@ -7,7 +7,6 @@
         tests/scheduler/test_random_faults.py
 """
 
-import os
 import random
 
 import pytest
@@ -29,15 +28,6 @@
 JOBS = 40
 
 
-def seeds():
-    """Returns the seeds to play, from the environment if it names a range."""
-    text = os.environ.get("RANDOM_FAULT_SEEDS")
-    if text is None:
-        return DEFAULT_SEEDS
-    first, _, end = text.partition("-")
-    return range(int(first), int(end))
-
-
 class Faults:
     """Draws faults that overlap, and ends each of them after a while."""
 
@@ -387,7 +377,7 @@
 
 
 class TestRandomFaults:
-    @pytest.mark.parametrize("seed", seeds())
+    @pytest.mark.parametrize("seed", fakes.random_seeds(DEFAULT_SEEDS))
     def test_overlapping_faults_keep_the_invariants(self, seed):
         """Guards against a task that runs twice or a job that never ends under
         a combination of faults that no other test has."""
--- a/tests/scheduler/test_takeover_safety.py
+++ b/tests/scheduler/test_takeover_safety.py
@@ -78,11 +78,15 @@
 
     @takeovers.LISTED
     @TAKEOVERS
+    @pytest.mark.parametrize("twice", (True, False), ids=("twice", "late"))
     @pytest.mark.parametrize("delay_ms", (500, 5_500))
-    def test_calls_that_arrive_late(self, deployment, listed, how, delay_ms):
+    def test_calls_that_arrive_late(
+        self, deployment, listed, how, delay_ms, twice
+    ):
         """Guards against a second run of a task whose worker executes the last
         calls seconds after they were sent."""
         sim, worker, key = self.prepare(deployment)
+        worker.late_calls_only_late = not twice
         for kind in ("look", "start"):
             worker.late_calls[kind] = [delay_ms] * 40
         sim.mute_workers.add(worker.name)
