Tell the next leader which tasks wait at a planned stop

Cause: a task that waited for room, or for the end of its worker's lease, when a leader stopped was held by the next one if any worker did not answer it at once, as that worker might have run the task. Change: a leader that has settled names the waiting tasks, long-running ones first, when it releases the leadership.

--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -427,6 +427,7 @@
             leader.former_workers[name] = former._replace(expiry=expiry)
     if former_release is not None:
         leader.unsaved_jobs = former_release.unsaved_jobs
+        leader.waiting_tasks = former_release.waiting
     leader.expiring = frozenset(expiries)
     leader.expiries_saved = leader.expiring
 
--- a/packages/core/src/skylarklug/scheduler/leases.py
+++ b/packages/core/src/skylarklug/scheduler/leases.py
@@ -80,10 +80,12 @@
         leases: The end of all leases that it has granted.
         unsaved_jobs: The jobs whose rows did not show all ends of their runs;
             None if any may be one.
+        waiting: Tasks that run nowhere, or only on a silent worker.
     """
 
     leases: Expiry
     unsaved_jobs: frozenset[str] | None
+    waiting: frozenset[records.TaskKey]
 
 
 def latest_store_ms(reading: ClockReading, at: int) -> int:
@@ -119,7 +121,7 @@
         if expiry.tasks is not None:
             task_count += len(expiry.tasks)
             if task_count <= MAX_TASKS:
-                tasks = [list(key) for key in sorted(expiry.tasks)]
+                tasks = _encode_tasks(expiry.tasks)
         workers[name] = [_store_ms(reading, expiry), tasks]
     value = {"epoch": epoch, "workers": workers}
     if release is not None:
@@ -128,9 +130,18 @@
             unsaved = sorted(release.unsaved_jobs)
             if len(unsaved) <= MAX_UNSAVED_JOBS:
                 value["unsaved_jobs"] = unsaved
+        value["waiting"] = _encode_tasks(release.waiting)
     return value
 
 
+def _encode_tasks(tasks):
+    return [list(key) for key in sorted(tasks)]
+
+
+def _decode_tasks(rows):
+    return frozenset(records.TaskKey(*fields) for fields in rows)
+
+
 def _store_ms(reading, expiry):
     return expiry.store_ms or latest_store_ms(reading, expiry.at)
 
@@ -158,7 +169,7 @@
     for name, (store_ms, tasks) in value["workers"].items():
         keys = None
         if tasks is not None:
-            keys = frozenset(records.TaskKey(*fields) for fields in tasks)
+            keys = _decode_tasks(tasks)
         at = reached_at(reading, store_ms)
         expiries[name] = Expiry(at, keys, store_ms)
     if written_in != epoch - 1 or "released_until" not in value:
@@ -169,4 +180,5 @@
     unsaved = value.get("unsaved_jobs")
     if unsaved is not None:
         unsaved = frozenset(unsaved)
-    return expiries, Release(expiry, unsaved)
+    waiting = _decode_tasks(value.get("waiting", ()))
+    return expiries, Release(expiry, unsaved, waiting)
--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -62,7 +62,10 @@
 def may_still_run(leader, key) -> bool:
     """Returns whether a worker that has not answered may run a task."""
     for former in leader.former_workers.values():
-        if former.expiry.tasks is None or key in former.expiry.tasks:
+        tasks = former.expiry.tasks
+        if tasks is None and key not in leader.waiting_tasks:
+            return True
+        if tasks is not None and key in tasks:
             return True
     return False
 
@@ -277,17 +280,38 @@
         kept, expiries = _contents(state, stopping=True)
         for name in leader.roster_saved.keys() - {w.name for w in kept}:
             expiries[name] = leases.Expiry(state.now, frozenset())
-        value = _encode_expiries(state, expiries, _release_record(state))
+        record = _release_record(state, expiries)
+        value = _encode_expiries(state, expiries, record)
         writes.append(fx.Write(leases.TABLE, leases.KEY, value))
     leadership.release(state, effects, done, successor, writes)
 
 
-def _release_record(state):
+def _release_record(state, expiries):
     leader = state.leader
     until = state.now + leadership.lease_ms(state.cfg)
     if not leader.settled:
-        # A run that this leader does not know may have begun a later step.
+        # There may be runs that this leader does not know.
         until = max(until, leader.settled_at)
-        return leases.Release(leases.Expiry(until, None), None)
+        return leases.Release(leases.Expiry(until, None), None, frozenset())
     unsaved = frozenset(leader.dirty) | leader.saving
-    return leases.Release(leases.Expiry(until, None), unsaved)
+    waiting = _waiting_tasks(leader)
+    for expiry in expiries.values():
+        waiting.extend(expiry.tasks or ())
+    return leases.Release(
+        leases.Expiry(until, None),
+        unsaved,
+        frozenset(waiting[: leases.MAX_TASKS]),
+    )
+
+
+def _waiting_tasks(leader):
+    """Returns the tasks without a run, those that run until cancelled first."""
+    lasting = []
+    others = []
+    for group in leader.ready.values():
+        for task in group.values():
+            if task.step.runs_until_cancelled:
+                lasting.append(task.key)
+            else:
+                others.append(task.key)
+    return lasting + others
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -361,6 +361,8 @@
             that no worker has reported.
         unsaved_jobs: The jobs whose rows did not show all ends of their runs
             when the former leader stopped; None if any may be one.
+        waiting_tasks: Tasks that ran nowhere, or only on workers whose record
+            in the store names them, when the former leader stopped.
         unreached: Former workers whose leases ended without an answer.
         roster_saved: Address by worker, as in the committed roster.
         roster_changed: Whether a worker has answered that may need an entry.
@@ -425,6 +427,7 @@
         self.roster_version = 0
         self.former_workers: dict[str, leases.FormerWorker] = {}
         self.unsaved_jobs: frozenset[str] | None = None
+        self.waiting_tasks: frozenset[records.TaskKey] = frozenset()
         self.unreached: list[str] = []
         self.roster_changed = False
         self.expiries_saved: frozenset[str] | None = frozenset()
--- a/tests/scheduler/test_leases.py
+++ b/tests/scheduler/test_leases.py
@@ -53,11 +53,14 @@
     def test_release_counts_only_for_the_next_leader(self):
         """Guards against a second run of a task whose lease a leader has
         renewed that came after the release and wrote nothing."""
-        release = leases.Release(leases.Expiry(7_600, None), frozenset("a"))
+        release = leases.Release(
+            leases.Expiry(7_600, None), frozenset("a"), frozenset({KEY})
+        )
         value = self.encode(release=release)
         found = leases.decode(READING, value, 4, 1)[1]
         assert found.leases.at >= 7_600
         assert found.unsaved_jobs == {"a"}
+        assert found.waiting == {KEY}
         assert leases.decode(READING, value, 5, 1)[1] is None
 
     def test_without_a_clock_nothing_counts(self):
