Repeat the release of a stopping leader until the row shows it

Seen: in virtual time, a release at SIGTERM that the store refused or left without an answer was not repeated: the next node led only after the time-out of a killed leader, and not as a planned take-over. The same after a SIGTERM while a claim was under way: the row named a process that had ended. Cause: any answer to the release counted as done, and a claim that succeeded after the signal was dropped. Change: while the row names a stopping process, the process releases it again, at the interval of claims, and exits once it does not, at the limit at last.

--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -458,6 +458,31 @@
     )
 
 
+def is_given_up(state) -> bool:
+    """Returns whether this process neither leads nor seems to lead."""
+    if state.leader is not None or state.claiming:
+        return False
+    return not _is_mine(state, state.owner)
+
+
+def record_release(state, answer) -> None:
+    """Records a release, whose row may arrive later."""
+    if answer.status != "ok" or state.owner is None:
+        return
+    if answer.version > state.owner_version:
+        state.owner = {**state.owner, "released": True}
+        state.owner_version = answer.version
+
+
+def give_up(state, effects, done) -> None:
+    """Repeats a release that has failed, or releases after a late claim."""
+    if is_given_up(state) or state.claiming or state.leader is not None:
+        return
+    if state.now >= state.claim_due_at:
+        value = {**state.owner, "released": True}
+        _write_owner(state, effects, value, done)
+
+
 def _on_tick(state, event, effects):
     leader = state.leader
     if leader is None:
--- a/packages/core/src/skylarklug/scheduler/lifecycle.py
+++ b/packages/core/src/skylarklug/scheduler/lifecycle.py
@@ -99,13 +99,14 @@
     effects.append(fx.StopKeepAlive())
     if state.leader is not None:
         state.released = False
+        leadership.release(state, effects, _on_released)
 
-        def done(state, effects, answer):
-            state.released = True
-            fields = {"status": answer.status}
-            effects.append(fx.Log("info", "leadership-released", fields))
 
-        leadership.release(state, effects, done)
+def _on_released(state, effects, answer):
+    state.released = True
+    leadership.record_release(state, answer)
+    fields = {"status": answer.status}
+    effects.append(fx.Log("info", "leadership-released", fields))
 
 
 def _on_tick(state, event, effects):
@@ -114,6 +115,8 @@
         _update_ready(state, effects)
     if not state.stopping_at:
         return
+    if state.released:
+        leadership.give_up(state, effects, _on_released)
     elapsed = state.now - state.stopping_at
     if elapsed < DRAIN_NOTICE_MS:
         return
@@ -130,7 +133,9 @@
 
 
 def _on_connections_counted(state, event, effects):
-    if not event.busy and not state.open_requests and state.released:
+    if event.busy or state.open_requests or not state.released:
+        return
+    if leadership.is_given_up(state):
         _exit(state, effects, 0)
 
 
--- a/tests/scheduler/test_stop.py
+++ b/tests/scheduler/test_stop.py
@@ -1,5 +1,6 @@
-"""Requests that arrive at a node that has been asked to stop."""
+"""Requests and the leadership of a node that has been asked to stop."""
 
+import pytest
 import scheduler_fakes as fakes
 
 from skylarklug.scheduler import events
@@ -87,3 +88,51 @@
         took = exited_after(sim, node)
         assert GRACE_MS - MARGIN_MS <= took < GRACE_MS
         assert sim.refused_requests == 1
+
+
+class TestLeadership:
+    def wait_for_leader(self, sim, former):
+        """Returns the log of the next leader and how long it took."""
+        since = sim.now
+        while sim.leader() in (None, former):
+            sim.run(25)
+            assert sim.now - since < 20_000
+        return sim.leader().logs, sim.now - since
+
+    def gained(self, logs):
+        return [f for _, event, f in logs if event == "leadership-gained"][-1]
+
+    @pytest.mark.parametrize("mode", ("refuse", "silent", "lose"))
+    def test_release_that_fails_is_repeated(self, deployment, mode):
+        """Guards against a release without an answer, after which the next
+        leader waits as if the former one had been killed."""
+        sim = deployment()
+        former = sim.leader()
+        sim.store.modes[former.name] = mode
+        sim.dispatch(former, events.StopRequested(sim.now))
+        sim.after(900, sim.store.modes.clear)
+        logs, took = self.wait_for_leader(sim, former)
+        assert took < 2_000
+        assert self.gained(logs)["planned"]
+
+    def test_claim_that_succeeds_after_the_signal_is_released(self, deployment):
+        """Guards against an owner row that names a process which has ended,
+        when it was stopped while its claim was under way."""
+        sim = deployment()
+        sim.kill(sim.leader().name)
+        while not any(n.state.claiming for n in sim.nodes.values()):
+            sim.run(1)
+        node = next(n for n in sim.nodes.values() if n.state.claiming)
+        sim.dispatch(node, events.StopRequested(sim.now))
+        _, took = self.wait_for_leader(sim, node)
+        assert took < 2_000
+        sim.run(GRACE_MS)
+        assert not node.alive
+
+    def test_node_without_the_store_exits_in_time(self, deployment):
+        """Guards against a stop that waits for a release beyond the limit."""
+        sim = deployment()
+        former = sim.leader()
+        sim.store.modes[former.name] = "silent"
+        sim.dispatch(former, events.StopRequested(sim.now))
+        assert exited_after(sim, former) <= GRACE_MS - MARGIN_MS + 50
