--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -1,4 +1,5 @@
 import asyncio
+import base64
 import json
 import os
 import pathlib
@@ -6,6 +7,7 @@
 import socket
 import sys
 
+import odd_entries
 import platform_standin as standin
 
 from skylarklugd import client
@@ -165,6 +167,58 @@
 
         run_scenario(tmp_path, scenario)
 
+    def test_odd_entries_end_neither_the_process_nor_its_feed(self, tmp_path):
+        """Guards against a process that ends, or uses no worker any more,
+        because another writer left odd entries among those of the workers."""
+
+        async def scenario(scheduler):
+            def put_odd_entries(prefix):
+                for number, value in enumerate(odd_entries.ODD_VALUES):
+                    name = f"{prefix}{number}"
+                    scheduler.store.ver += 1
+                    scheduler.store.write("servers", "", name, value)
+
+            async def run_job(job, step):
+                body = json.dumps({"spec": "", "steps": [step]}).encode()
+                path = f"/batch/{job}"
+                answer = await scheduler.request(
+                    scheduler.front, "POST", path, body
+                )
+                assert answer.status == 200
+
+                async def done():
+                    return await scheduler.job_state(job) == "done"
+
+                await wait_until(done)
+
+            put_odd_entries("a-")
+            scheduler.store.put("op", "", "config", standin.CONFIGURATION)
+            await wait_until(scheduler.is_ready)
+            await run_job("1" * 16, {"count": 1, "cpu": 500})
+            put_odd_entries("z-")
+            # One odd entry over that of a good worker, and a new worker.
+            scheduler.store.put("servers", "", "w1", {"service": 5})
+            other = standin.Worker("w2")
+            scheduler.store.put("servers", "", "w2", other.entry(labels=["b"]))
+            step = {"count": 1, "cpu": 500, "required_label": "b"}
+            await run_job("2" * 16, step)
+            assert [run["task"][:16] for run in other.started] == ["2" * 16]
+            scheduler.store.put("servers", "", "w1", scheduler.worker.entry())
+            step = {"count": 1, "cpu": 500, "required_label": "a"}
+            await run_job("3" * 16, step)
+            assert scheduler.process.returncode is None
+            for row in scheduler.store.rows.values():
+                if row["key"] == "roster":
+                    roster = json.loads(base64.b64decode(row["value"]))
+            assert sorted(roster) == ["w1", "w2"]
+            code, output = await scheduler.stop()
+            assert code == 0, output
+            assert "event=entry-unreadable" in output
+            assert "event=defect" not in output
+            assert "event=feed-lost" not in output
+
+        run_scenario(tmp_path, scenario)
+
     def test_long_running_job_runs_until_cancelled(self, tmp_path):
         """Guards against a cancellation that is accepted but not executed."""
 
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -156,6 +156,8 @@
         # Capacity and incarnation in its entry.
         self.published = (self.capacity, incarnation)
         self.labels = labels
+        # Whether another writer has put an unreadable entry over its own.
+        self.has_odd_entry = False
         self.draining = False
         self.run_ms = 500
         self.fail = set()
@@ -605,7 +607,7 @@
                 node.missed.add(table)
                 return
             if table == "workers":
-                entries = tuple(w.entry() for w in self.workers.values())
+                entries = self.readable_entries()
                 event = events.WorkersChanged(self.now, True, entries, ())
             else:
                 rows = self.store.table(table)
@@ -666,7 +668,9 @@
 
         A process that is suspended reads the table when it resumes.
         """
-        entries = (worker.entry(),)
+        changed = ((worker.entry(),), ())
+        if worker.has_odd_entry:
+            changed = ((), (worker.name,))
         for node in self.nodes.values():
             if "workers" not in node.watched:
                 continue
@@ -677,9 +681,16 @@
             self.deliver(
                 node,
                 STORE_DELAY_MS,
-                lambda at: events.WorkersChanged(at, False, entries, ()),
+                lambda at: events.WorkersChanged(at, False, *changed),
             )
 
+    def readable_entries(self):
+        found = []
+        for worker in self.workers.values():
+            if not worker.has_odd_entry:
+                found.append(worker.entry())
+        return tuple(found)
+
     def serves(self, node, table):
         """Returns whether the store answers a node that reads a table."""
         if table in node.hung_tables:
@@ -690,7 +701,7 @@
         """Sends the current worker entries to all nodes."""
         for worker in self.workers.values():
             worker.published = (worker.capacity, worker.incarnation)
-        entries = tuple(w.entry() for w in self.workers.values())
+        entries = self.readable_entries()
         for node in self.nodes.values():
             if not self.store.is_readable(node):
                 node.missed.add("workers")
