Read the rows of a worker's answer one by one

One row of `running` or `ended_runs` that could not be read made the whole answer of the worker unknown: it got no lease, and everything that ran there ended. Other odd rows were passed on: an attempt of 2**63 or 1e300, which no row can hold, a `born` or clock of 1e300, and an end numbered 2**60 or 1e300, behind which no later end is handled, but is acknowledged. An end with an outcome that is not documented was acknowledged as if it had been understood.

reports.py decodes each row by itself, with stated limits. What was decided for a row that cannot be read:

- A run whose name or attempt cannot be read still uses resources: the worker gets no new starts.
It may be any run that is not listed: none is lost meanwhile.
If the worker has not answered a new leader before it has settled, the answer counts as a failed poll, as it did for any odd row: the worker gets no lease, and settling waits for the last one.
- Odd progress of a run (checkpoint, percent, measurement) counts as unknown: the last checkpoint, 0 and 0.
The run itself is known.
- An end that cannot be read, or whose number is above the next one's, is not acknowledged, nor is any later one; the later ones are handled once.
Its run is not lost meanwhile.
- Without a usable `born` or `clock_ms`, or without the lists, the answer is unknown, as before.

The rows that are unreadable are logged when they change, not at each poll.

Tests: the cases of test_malformed.py that took one odd row for an unknown answer are replaced by TestUnreadableRows, which requires that the others are read and that the odd one is known to be missing.

--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -136,7 +136,12 @@
 
 
 class WorkerPolled(NamedTuple):
-    """A worker answered a `PollWorker`. `clock_ms` is its clock."""
+    """A worker answered a `PollWorker`. `clock_ms` is its clock.
+
+    `has_unreadable_run` says that it also lists runs that could not be read.
+    Ends from the number `unreadable_end` on, unless 0, may be missing from
+    `ended`, so that the worker must not forget them.
+    """
 
     at: int
     sent_at: int
@@ -145,6 +150,8 @@
     clock_ms: int
     running: tuple[records.RunReport, ...]
     ended: tuple[records.EndReport, ...]
+    has_unreadable_run: bool = False
+    unreadable_end: int = 0
 
 
 class OrderAnswered(NamedTuple):
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -224,8 +224,12 @@
         recently_ended: Best-effort tasks that ended recently, as (image, CPU,
             when).
         acknowledged: Highest number of an end that the worker may forget.
-        last_end_number: Highest number of an end that it reported.
+        last_end_number: The ends up to this number have been handled.
         unsaved_ends: Job by number of the ends not committed yet.
+        has_unreadable_end: Whether it last listed an end that could not be
+            read.
+        later_ends: Numbers of the ends handled although an earlier one could
+            not be read.
         lease_granted_at: When the latest order that renews its lease was
             sent.
         answered_at: When it last answered.
@@ -267,6 +271,8 @@
         "backoff_until",
         "change_sequence",
         "runs",
+        "later_ends",
+        "has_unreadable_end",
         "unsaved_ends",
         "unwanted_runs",
         "has_unknown_run",
@@ -289,6 +295,8 @@
         self.acknowledged = 0
         self.last_end_number = 0
         self.unsaved_ends: dict[int, str] = {}
+        self.has_unreadable_end = False
+        self.later_ends: set[int] = set()
         self.lease_granted_at = 0
         self.answered_at = 0
         self.reached_at = 0
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -113,6 +113,8 @@
     worker.acknowledged = 0
     worker.last_end_number = 0
     worker.unsaved_ends.clear()
+    worker.has_unreadable_end = False
+    worker.later_ends.clear()
     worker.poll_due_at = 0
 
 
@@ -179,7 +181,7 @@
         # restarted elsewhere as early as possible.
         lease_until = worker.clock_now(state.now) + state.cfg.max_lease_ms
         worker.lease_granted_at = state.now
-        if not worker.unsaved_ends:
+        if not _must_keep_ends(worker):
             wait_ms = POLL_WAIT_MS
     timeout_ms = min(
         MAX_POLL_TIMEOUT_MS,
@@ -216,6 +218,13 @@
         return
     if event.incarnation > worker.incarnation:
         _on_restart(state, effects, worker, event.incarnation)
+    if _is_incomplete(event) and not worker.fenced and not leader.settled:
+        # Any run of a former leader may be one that could not be read. It gets
+        # no lease from this leader, and settling waits for its end.
+        _record_failed_poll(
+            state, effects, worker, "unknown", "a row could not be read"
+        )
+        return
     first_answer = not worker.fenced or worker.failed_polls
     if not worker.fenced:
         worker.reached_at = state.now
@@ -230,32 +239,52 @@
     worker.answered_at = state.now
     worker.record_change(leader)
     _save_crashes(state, effects, crashes.take_back(leader, worker))
-    for report in event.ended:
-        if report.number <= worker.last_end_number:
-            continue
-        worker.last_end_number = report.number
-        unsaved = ends.handle_end(state, effects, worker, report)
-        if unsaved:
-            worker.unsaved_ends[report.number] = unsaved
-    update_acknowledged(worker)
+    _handle_ends(state, effects, worker, event)
     _reconcile(state, effects, worker, event)
     interference.on_poll(state, effects, worker)
     if first_answer:
         _log_worker(state, effects, worker, "reached")
         leader.placement_requested = True
         worker.poll_due_at = state.now
-    elif worker.unsaved_ends:
+    elif _must_keep_ends(worker):
         worker.poll_due_at = state.now + UNSAVED_POLL_PAUSE_MS
     else:
         worker.poll_due_at = state.now + POLL_PAUSE_MS
 
 
+def _handle_ends(state, effects, worker, event):
+    """Handles the ends that are new; the worker numbers them in order."""
+    for report in event.ended:
+        number = report.number
+        if number <= worker.last_end_number or number in worker.later_ends:
+            continue
+        worker.later_ends.add(number)
+        unsaved = ends.handle_end(state, effects, worker, report)
+        if unsaved:
+            worker.unsaved_ends[number] = unsaved
+    worker.has_unreadable_end = event.unreadable_end > 0
+    for number in sorted(worker.later_ends):
+        if worker.has_unreadable_end and number >= event.unreadable_end:
+            break
+        worker.last_end_number = max(worker.last_end_number, number)
+        worker.later_ends.discard(number)
+    update_acknowledged(worker)
+
+
+def _must_keep_ends(worker):
+    """Returns whether a worker may not forget all of the ends it reported.
+
+    A poll that does not acknowledge all of them returns at once.
+    """
+    return worker.has_unreadable_end or bool(worker.unsaved_ends)
+
+
 def update_acknowledged(worker):
     """Updates the number up to which the worker may discard reported ends."""
+    worker.acknowledged = worker.last_end_number
     if worker.unsaved_ends:
-        worker.acknowledged = min(worker.unsaved_ends) - 1
-    else:
-        worker.acknowledged = worker.last_end_number
+        oldest = min(worker.unsaved_ends)
+        worker.acknowledged = min(worker.acknowledged, oldest - 1)
 
 
 def on_jobs_committed(state, names):
@@ -271,6 +300,14 @@
             worker.poll_due_at = state.now
 
 
+def _is_incomplete(event):
+    """Returns whether the answer has rows that could not be read.
+
+    A run that it does not list may be one of them, and run or have ended.
+    """
+    return event.has_unreadable_run or event.unreadable_end > 0
+
+
 def _reconcile(state, effects, worker, event):
     """Reconciles the runs that a worker reports with the leader's state."""
     listed = set()
@@ -292,9 +329,12 @@
     for key, task in list(worker.runs.items()):
         if key in listed:
             task.missed_polls = 0
-            continue
-        _on_run_not_listed(state, effects, worker, task, event.sent_at)
-    worker.restarted = False
+        elif not _is_incomplete(event):
+            _on_run_not_listed(state, effects, worker, task, event.sent_at)
+    if event.has_unreadable_run:
+        worker.has_unknown_run = True
+    if not _is_incomplete(event):
+        worker.restarted = False
 
 
 def _update_run(state, task, report):
@@ -356,22 +396,26 @@
         _mark_run_lost(state, effects, worker, task, "not listed")
 
 
-def _on_poll_failed(state, event, effects):
-    if event.op != "look" or state.leader is None:
-        return
-    worker = state.leader.workers.get(event.worker)
-    if worker is None or event.sent_at < state.leader.since:
-        return
-    worker.poll_pending = False
+def _record_failed_poll(state, effects, worker, result, reason):
     worker.failed_polls += 1
     worker.poll_due_at = state.now + POLL_RETRY_MS
     fields = {
         "worker": worker.name,
-        "result": event.result,
-        "reason": event.reason,
+        "result": result,
+        "reason": reason,
         "silent_ms": state.now - worker.answered_at,
     }
     effects.append(fx.Log("warning", "look-failed", fields))
+
+
+def _on_poll_failed(state, event, effects):
+    if event.op != "look" or state.leader is None:
+        return
+    worker = state.leader.workers.get(event.worker)
+    if worker is None or event.sent_at < state.leader.since:
+        return
+    worker.poll_pending = False
+    _record_failed_poll(state, effects, worker, event.result, event.reason)
     if event.reason == "fence":
         orders.suspend_orders(state, effects, worker.name)
     if event.result == "reborn" and event.address == worker.entry.address:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -446,11 +446,14 @@
             effect = fx.PollWorker("w1", worker.address, 3, 0, 0, 0, 500)
             worker_client = workers.WorkerClient(http, log, clock)
             result, _, report = await worker_client.poll(effect)
-            incarnation, _, running, ended = report
-            assert (result, incarnation) == ("ok", 7)
-            assert running == (records.RunReport(KEY, 2, "save", 41, 150),)
+            assert (result, report.incarnation) == ("ok", 7)
+            run = records.RunReport(KEY, 2, "save", 41, 150)
+            assert report.running == (run,)
             done = records.EndReport(58, KEY._replace(index=9), 1, "done", "")
-            assert ended == (done,)
+            assert report.ended == (done,)
+            assert not report.has_unreadable_run
+            assert report.unreadable_end == 0
+            assert log.lines == []
 
         with_client(call)
 
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -3,10 +3,14 @@
 import asyncio
 import base64
 import json
+import math
 
+import hypothesis
+from hypothesis import strategies as st
 import platform_standin as standin
 import pytest
 from skylarklug_platform import callers
+from skylarklug_platform import reports
 from skylarklug_platform import store
 from skylarklug_platform import wire
 from skylarklug_platform import workers
@@ -27,17 +31,69 @@
 MALFORMED_POLLS = [
     {**POLL, "born": None},
     {**POLL, "clock_ms": "soon"},
-    {**POLL, "running": [["x", 1]]},
-    {**POLL, "running": [["a.b.c.d", 1, "", 0]]},
     {**POLL, "running": 5},
-    {**POLL, "ended_runs": [[1, "5c0e7a21d94b36f8.0.1.9"]]},
-    {**POLL, "ended_runs": [["n", "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]]},
+    {**POLL, "running": {}},
+    {**POLL, "ended_runs": None},
+    *[{**POLL, "born": born} for born in (1e300, 2**64, 7.0, -1, True, [])],
+    *[{**POLL, "clock_ms": at} for at in (-1, 1e300, 2**64, True, [])],
     {},
     [],
     "text",
     None,
 ]
 
+UNREADABLE_RUNS = [
+    None,
+    5,
+    [],
+    {},
+    "a.0.0.0",
+    ["a.0.0.0"],
+    [None, 1, "", 0, 0],
+    ["", 1, "", 0, 0],
+    ["x", 1, "", 0, 0],
+    ["a.b.c.d", 1, "", 0, 0],
+    ["a.0.0.-1", 1, "", 0, 0],
+    ["a.0.0.²", 1, "", 0, 0],
+    ["a.0.0." + "9" * 5_000, 1, "", 0, 0],
+    ["a.0.0.0.0", 1, "", 0, 0],
+    [".0.0.0", 1, "", 0, 0],
+    *[["a.0.0.0", n, "", 0, 0] for n in (0, -1, 1.5, 1e300, 2**64, "1", True)],
+]
+ODD_RUN_CELLS = [
+    [],
+    [""],
+    ["", 0],
+    [None, None, None],
+    [5, 101, -1],
+    ["x" * 5_000, -1, 1e300],
+    [[], 1e300, "5"],
+    ["", 2**70, 2**70],
+    [True, True, True],
+]
+UNREADABLE_ENDS = [
+    None,
+    [],
+    [7, "5c0e7a21d94b36f8.0.1.9"],
+    [7, "a.0.0.0", 1, "done"],
+    *[[n, "a.0.0.0", 1, "done", ""] for n in (0, -1, 6.5, 1e300, 2**64, "n")],
+    [7, "x", 1, "done", ""],
+    [7, "a.0.0.0", 1.5, "done", ""],
+    [7, "a.0.0.0", 1, "finished", ""],
+    [7, "a.0.0.0", 1, None, ""],
+    [7, "a.0.0.0", 1, ["done"], ""],
+]
+JSON_CELLS = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.sampled_from(["a.0.0.0", "done", 1, 2, 2**63, 2**64])
+    | st.text(max_size=20),
+    lambda cells: st.lists(cells, max_size=6),
+    max_leaves=12,
+)
+
 
 class Meters:
     def __init__(self):
@@ -86,6 +142,101 @@
         assert (result, report) == ("unknown", None)
 
 
+def report_of(answer, last_seen=0):
+    """Returns (report, number of problems) of a worker's answer."""
+    report, problems = reports.decode(json.loads(json.dumps(answer)), last_seen)
+    return report, len(problems)
+
+
+class TestUnreadableRows:
+    @pytest.mark.parametrize("row", UNREADABLE_RUNS, ids=repr)
+    def test_unreadable_run_hides_no_other(self, row):
+        """Guards against a worker whose runs all end because one of them cannot
+        be read, and against a run that seems not to be there."""
+        rows = [["a.0.0.0", 1, "", 5, 0], row, ["a.0.0.1", 1, "", 5, 0]]
+        report, problems = report_of({**POLL, "running": rows})
+        assert [run.key.index for run in report.running] == [0, 1]
+        assert (report.has_unreadable_run, problems) == (True, 1)
+        assert report.ended[0].outcome == "done"
+
+    @pytest.mark.parametrize("cells", ODD_RUN_CELLS, ids=repr)
+    def test_run_with_odd_progress_is_known(self, cells):
+        """Guards against a run that seems not to be there because only its
+        progress cannot be read."""
+        rows = [["a.0.0.0", 1, *cells]]
+        report, problems = report_of({**POLL, "running": rows})
+        (run,) = report.running
+        assert run.key.job == "a"
+        assert (run.checkpoint, run.percent, run.measurement) == ("", 0, 0.0)
+        assert (report.has_unreadable_run, problems) == (False, 0)
+
+    @pytest.mark.parametrize("row", UNREADABLE_ENDS, ids=repr)
+    def test_unreadable_end_is_kept_by_the_worker(self, row):
+        """Guards against an end that the worker forgets although it could not
+        be read, and against one that hides the others."""
+        first = [4, "a.0.0.0", 1, "done", ""]
+        last = [9, "a.0.0.1", 1, "failed", ""]
+        for rows, unreadable_end in (
+            ([first, row, last], 5),
+            ([row, last], 3),
+            ([first, last, row], 10),
+            ([first, row, row, last, row], 5),
+            ([first, last], 0),
+        ):
+            report, problems = report_of({**POLL, "ended_runs": rows}, 2)
+            expected = [row[0] for row in rows if row in (first, last)]
+            assert [end.number for end in report.ended] == expected
+            assert report.unreadable_end == unreadable_end
+            assert problems == len(rows) - len(expected)
+
+    def test_number_beyond_the_next_one_is_unreadable(self):
+        """Guards against one odd number that hides all later ends."""
+        rows = [
+            [4, "a.0.0.0", 1, "done", ""],
+            [900_000, "a.0.0.1", 1, "done", ""],
+            [6, "a.0.0.2", 1, "done", ""],
+        ]
+        report, problems = report_of({**POLL, "ended_runs": rows})
+        assert [end.number for end in report.ended] == [4, 6]
+        assert (report.unreadable_end, problems) == (5, 1)
+
+    def test_unreadable_row_is_logged_once(self):
+        """Guards against a log line for each poll of a worker that lists an
+        unreadable run."""
+
+        async def poll_often():
+            http = client.Client(connections=4, connect_timeout_ms=500)
+            worker = standin.Worker("w1")
+            worker.fixed_answer = (200, {**POLL, "running": [None]})
+            lines = []
+            worker_client = workers.WorkerClient(
+                http, lambda *line: lines.append(line), lambda: 0
+            )
+            effect = fx.PollWorker("w1", worker.address, 3, 0, 0, 0, 500)
+            for _ in range(20):
+                await worker_client.poll(effect)
+            http.close()
+            return lines
+
+        lines = asyncio.run(poll_often())
+        assert [line[1] for line in lines] == ["report-unreadable"]
+
+    @hypothesis.given(st.lists(JSON_CELLS), st.lists(JSON_CELLS))
+    @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+    def test_any_rows_are_decoded(self, run_rows, end_rows):
+        """Guards against a row of a worker that ends the reading of its answer,
+        or that no row of the scheduler can hold."""
+        run_rows.append(POLL["running"][0])
+        answer = {**POLL, "running": run_rows, "ended_runs": end_rows}
+        report, _ = report_of(answer)
+        assert report.running[-1].attempt == 2
+        for run in report.running:
+            wire.encode([run.attempt, run.checkpoint, run.percent])
+            assert math.isfinite(run.measurement)
+        for end in report.ended:
+            wire.encode([end.number, end.attempt, end.checkpoint])
+
+
 class TestStoreAnswers:
     @pytest.mark.parametrize("answer", [{}, {"ver": 1, "rows": 3}, [], None])
     def test_malformed_commit_answer_is_unknown(self, answer):
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -172,6 +172,8 @@
         self.late_calls = {"look": [], "start": [], "stop": []}
         # Additional delay of each answer to a poll.
         self.poll_delay_ms = 0
+        # Tasks whose runs or ends no node can read.
+        self.unreadable_tasks = set()
         self.restart(incarnation)
 
     def restart(self, incarnation):
@@ -300,7 +302,10 @@
         """Returns what the answer to a poll says now."""
         self.expire()
         running = []
+        hidden = self.unreadable_tasks
         for key, (attempt, _, checkpoint) in self.runs.items():
+            if key in hidden:
+                continue
             measurement = self.sim.measurement_of(self.sim, self, key)
             percent = 100 if self.sim.runs_until_cancelled(key) else 50
             running.append(
@@ -312,7 +317,9 @@
             self.incarnation,
             self.sim.now,
             tuple(running),
-            tuple(self.ends),
+            tuple(end for end in self.ends if end.key not in hidden),
+            any(key in hidden for key in self.runs),
+            min((e.number for e in self.ends if e.key in hidden), default=0),
         )
 
     def start(self, effect):
