Let a worker refute a start that only its entry names

An entry is taken for that of a restarted worker as soon as its `born` is above the known one. Another writer that puts too large a number there, within 64 bits, made the leader ignore each answer of the worker as one of an earlier incarnation. It got no lease, everything that ran there ended, and as the good entry then seemed to be a late one, the worker was not used again, by a new leader neither.

An answer of the earlier incarnation to a poll that was sent after the entry had been read shows that the start has not taken place: the worker is polled and keeps its runs and leases, gets no start until its entry names another one, and the log has one line for each such number (`entry-refuted`). Answers to earlier polls still count as late.

Evidence: the three tests of TestFalseIncarnation fail without the change (no run is left after three leases) and pass with it. What remains: a run that has just started keeps a record of a crash until it has run on, and an entry that names another worker's address is not detected.

--- a/packages/core/src/skylarklug/scheduler/ends.py
+++ b/packages/core/src/skylarklug/scheduler/ends.py
@@ -18,7 +18,34 @@
 MAX_QUARANTINED_SHARE = 0.3
 
 
-def handle_end(state, effects, worker, report):
+def handle_ends(state, effects, worker, event):
+    """Handles the ends that are new; the worker numbers them in order."""
+    for report in event.ended:
+        number = report.number
+        if number <= worker.last_end_number or number in worker.later_ends:
+            continue
+        worker.later_ends.add(number)
+        unsaved = _handle_end(state, effects, worker, report)
+        if unsaved:
+            worker.unsaved_ends[number] = unsaved
+    worker.has_unreadable_end = event.unreadable_end > 0
+    for number in sorted(worker.later_ends):
+        if worker.has_unreadable_end and number >= event.unreadable_end:
+            break
+        worker.last_end_number = max(worker.last_end_number, number)
+        worker.later_ends.discard(number)
+    update_acknowledged(worker)
+
+
+def update_acknowledged(worker):
+    """Updates the number up to which the worker may discard reported ends."""
+    worker.acknowledged = worker.last_end_number
+    if worker.unsaved_ends:
+        oldest = min(worker.unsaved_ends)
+        worker.acknowledged = min(worker.acknowledged, oldest - 1)
+
+
+def _handle_end(state, effects, worker, report):
     """Handles the end of a run.
 
     Returns the job whose row must be saved before the end is acknowledged, or
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -212,6 +212,8 @@
         listed: Whether its entry is in the platform's list.
         fenced: Whether it has accepted this leader's epoch.
         incarnation: Number of its latest known start.
+        announced_at: When an entry announced that start; 0 once it answered.
+        false_incarnation: Number of a start in its entry that it has refuted.
         clock: (worker's clock ms, our clock ms) at its latest answer.
         runs: Tasks that run or may run there, by key.
         used: [CPU, memory, accelerators] that those tasks reserve and that
@@ -251,6 +253,8 @@
         "allowed_shares",
         "answered_at",
         "recent_failures",
+        "announced_at",
+        "false_incarnation",
         "incarnation",
         "clock",
         "cordoned",
@@ -285,6 +289,8 @@
         self.listed = True
         self.fenced = False
         self.incarnation = 0
+        self.announced_at = 0
+        self.false_incarnation = 0
         self.clock = (0, 0)
         self.runs: dict[records.TaskKey, Task] = {}
         self.used = [0, 0, 0]
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -69,11 +69,15 @@
     if 0 < entry.incarnation < worker.incarnation:
         # A late read of the entry of an earlier incarnation.
         return
+    if entry.incarnation and entry.incarnation == worker.false_incarnation:
+        _unlist_worker(state, effects, worker)
+        return
     if entry.draining and not worker.entry.draining:
         _log_worker(state, effects, worker, "draining")
     if entry.incarnation > worker.incarnation:
         # By the former entry, which says whether it has ended as planned.
         _on_restart(state, effects, worker, entry.incarnation)
+        worker.announced_at = state.now
     worker.entry = entry
     worker.listed = True
     leader.placement_requested = True
@@ -118,6 +122,20 @@
     worker.poll_due_at = 0
 
 
+def _refute_entry(state, effects, worker, incarnation):
+    """Handles an answer of the incarnation before the one in the entry.
+
+    The poll was sent after the entry was read, so that start has not taken
+    place: another writer has put the number there.
+    """
+    fields = {"worker": worker.name, "incarnation": worker.incarnation}
+    effects.append(fx.Log("warning", "entry-refuted", fields))
+    worker.false_incarnation = worker.incarnation
+    worker.incarnation = incarnation
+    worker.restarted = False
+    _unlist_worker(state, effects, worker)
+
+
 def _is_suspicious(state, worker):
     """Returns whether a worker that has runs may have crashed.
 
@@ -214,10 +232,13 @@
         return
     worker.poll_pending = False
     if event.incarnation < worker.incarnation:
-        worker.poll_due_at = state.now + POLL_RETRY_MS
-        return
+        if not worker.announced_at or event.sent_at < worker.announced_at:
+            worker.poll_due_at = state.now + POLL_RETRY_MS
+            return
+        _refute_entry(state, effects, worker, event.incarnation)
     if event.incarnation > worker.incarnation:
         _on_restart(state, effects, worker, event.incarnation)
+    worker.announced_at = 0
     if _is_incomplete(event) and not worker.fenced and not leader.settled:
         # Any run of a former leader may be one that could not be read. It gets
         # no lease from this leader, and settling waits for its end.
@@ -239,7 +260,7 @@
     worker.answered_at = state.now
     worker.record_change(leader)
     _save_crashes(state, effects, crashes.take_back(leader, worker))
-    _handle_ends(state, effects, worker, event)
+    ends.handle_ends(state, effects, worker, event)
     _reconcile(state, effects, worker, event)
     interference.on_poll(state, effects, worker)
     if first_answer:
@@ -252,25 +273,6 @@
         worker.poll_due_at = state.now + POLL_PAUSE_MS
 
 
-def _handle_ends(state, effects, worker, event):
-    """Handles the ends that are new; the worker numbers them in order."""
-    for report in event.ended:
-        number = report.number
-        if number <= worker.last_end_number or number in worker.later_ends:
-            continue
-        worker.later_ends.add(number)
-        unsaved = ends.handle_end(state, effects, worker, report)
-        if unsaved:
-            worker.unsaved_ends[number] = unsaved
-    worker.has_unreadable_end = event.unreadable_end > 0
-    for number in sorted(worker.later_ends):
-        if worker.has_unreadable_end and number >= event.unreadable_end:
-            break
-        worker.last_end_number = max(worker.last_end_number, number)
-        worker.later_ends.discard(number)
-    update_acknowledged(worker)
-
-
 def _must_keep_ends(worker):
     """Returns whether a worker may not forget all of the ends it reported.
 
@@ -279,14 +281,6 @@
     return worker.has_unreadable_end or bool(worker.unsaved_ends)
 
 
-def update_acknowledged(worker):
-    """Updates the number up to which the worker may discard reported ends."""
-    worker.acknowledged = worker.last_end_number
-    if worker.unsaved_ends:
-        oldest = min(worker.unsaved_ends)
-        worker.acknowledged = min(worker.acknowledged, oldest - 1)
-
-
 def on_jobs_committed(state, names):
     """Removes the unsaved ends of jobs whose rows have been committed."""
     for worker in state.leader.workers.values():
@@ -295,7 +289,7 @@
         for number, job in list(worker.unsaved_ends.items()):
             if job in names:
                 del worker.unsaved_ends[number]
-        update_acknowledged(worker)
+        ends.update_acknowledged(worker)
         if not worker.unsaved_ends and not worker.poll_pending:
             worker.poll_due_at = state.now
 
--- a/tests/scheduler/test_odd_entries.py
+++ b/tests/scheduler/test_odd_entries.py
@@ -132,3 +132,77 @@
         assert sim.state_of(1) == "done"
         assert len(sim.starts) == 3
         assert not sim.find_problems()
+
+
+class TestFalseIncarnation:
+    """An entry that is sound, but names a start that never took place."""
+
+    def put_false_entry(self, sim, name, incarnation=9_000):
+        worker = sim.workers[name]
+        published = worker.published
+        worker.published = (worker.capacity, incarnation)
+        sim.publish_entry(worker)
+        worker.published = published
+
+    def test_worker_is_used_again(self, deployment):
+        """Guards against a worker whose answers are ignored for ever after
+        another writer has put a later start into its entry."""
+        sim = deployment(workers=1)
+        names = run_tasks(sim, LONG_RUNNING)
+        running = sim.running(1)
+        # The runs are no longer suspected of having crashed their worker.
+        sim.run(10_000)
+        self.put_false_entry(sim, *names)
+        sim.run(3 * fakes.MAX_LEASE_MS)
+        check_undisturbed(sim, running)
+        # The good entry, and the false one in turn.
+        for _ in range(5):
+            sim.publish_entry(sim.workers["w0"])
+            sim.run(700)
+            self.put_false_entry(sim, "w0")
+            sim.run(700)
+        check_undisturbed(sim, running)
+        sim.workers["w0"].run_ms = 100
+        sim.submit(2, fakes.step(2, cpu=1_000))
+        sim.run(2_000)
+        assert len(sim.starts) == 2
+        sim.publish_entry(sim.workers["w0"])
+        sim.run(2_000)
+        assert sim.state_of(2) == "done"
+        assert sim.running(1) == running
+        assert not sim.find_problems()
+
+    def test_new_leader_adopts_its_runs(self, deployment):
+        """Guards against a new leader that ignores the answers of a worker,
+        because its entry names a later start."""
+        sim = deployment(workers=1)
+        run_tasks(sim, LONG_RUNNING)
+        running = sim.running(1)
+        worker = sim.workers["w0"]
+        worker.published = (worker.capacity, 9_000)
+        kill_leader(sim)
+        sim.run(3 * fakes.MAX_LEASE_MS)
+        assert sim.leader().state.leader.epoch == 2
+        check_undisturbed(sim, running)
+        worker.published = (worker.capacity, worker.incarnation)
+        sim.publish_entry(worker)
+        worker.run_ms = 100
+        sim.submit(2, fakes.step(2, cpu=1_000))
+        sim.run(2_000)
+        assert sim.state_of(2) == "done"
+        assert not sim.find_problems()
+
+    def test_actual_restart_is_still_noticed(self, deployment):
+        """Guards against a worker that is not used after it has restarted,
+        because its entry named a later start before."""
+        sim = deployment(workers=1)
+        run_tasks(sim, LONG_RUNNING)
+        self.put_false_entry(sim, "w0")
+        sim.run(3_000)
+        worker = sim.workers["w0"]
+        worker.crash(incarnation=2)
+        worker.publish()
+        sim.run(10_000)
+        assert len(sim.running(1)) == 2
+        assert len(sim.starts) == 4
+        assert not sim.find_problems()
