--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -213,6 +213,8 @@
         listed: Whether its entry is in the platform's list.
         fenced: Whether it has accepted this leader's epoch.
         incarnation: Number of its latest known start.
+        announced_at: When an entry announced that start; 0 once it answered.
+        false_incarnation: Number of a start in its entry that it has refuted.
         clock: (worker's clock ms, our clock ms) at its latest answer.
         runs: Tasks that run or may run there, by key.
         used: [CPU, memory, accelerators] that those tasks reserve and that
@@ -225,8 +227,12 @@
         recently_ended: Best-effort tasks that ended recently, as (image, CPU,
             when).
         acknowledged: Highest number of an end that the worker may forget.
-        last_end_number: Highest number of an end that it reported.
+        last_end_number: The ends up to this number have been handled.
         unsaved_ends: Job by number of the ends not committed yet.
+        has_unreadable_end: Whether it last listed an end that could not be
+            read.
+        later_ends: Numbers of the ends handled although an earlier one could
+            not be read.
         lease_granted_at: When the latest order that renews its lease was
             sent.
         answered_at: When it last answered.
@@ -248,6 +254,8 @@
         "allowed_shares",
         "answered_at",
         "recent_failures",
+        "announced_at",
+        "false_incarnation",
         "incarnation",
         "clock",
         "cordoned",
@@ -268,6 +276,8 @@
         "backoff_until",
         "change_sequence",
         "runs",
+        "later_ends",
+        "has_unreadable_end",
         "unsaved_ends",
         "unwanted_runs",
         "has_unknown_run",
@@ -280,6 +290,8 @@
         self.listed = True
         self.fenced = False
         self.incarnation = 0
+        self.announced_at = 0
+        self.false_incarnation = 0
         self.clock = (0, 0)
         self.runs: dict[records.TaskKey, Task] = {}
         self.used = [0, 0, 0]
@@ -290,6 +302,8 @@
         self.acknowledged = 0
         self.last_end_number = 0
         self.unsaved_ends: dict[int, str] = {}
+        self.has_unreadable_end = False
+        self.later_ends: set[int] = set()
         self.lease_granted_at = 0
         self.answered_at = 0
         self.reached_at = 0
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -69,11 +69,15 @@
     if 0 < entry.incarnation < worker.incarnation:
         # A late read of the entry of an earlier incarnation.
         return
+    if entry.incarnation and entry.incarnation == worker.false_incarnation:
+        _unlist_worker(state, effects, worker)
+        return
     if entry.draining and not worker.entry.draining:
         _log_worker(state, effects, worker, "draining")
     if entry.incarnation > worker.incarnation:
         # By the former entry, which says whether it has ended as planned.
         _on_restart(state, effects, worker, entry.incarnation)
+        worker.announced_at = state.now
     worker.entry = entry
     worker.listed = True
     leader.placement_requested = True
@@ -113,9 +117,25 @@
     worker.acknowledged = 0
     worker.last_end_number = 0
     worker.unsaved_ends.clear()
+    worker.has_unreadable_end = False
+    worker.later_ends.clear()
     worker.poll_due_at = 0
 
 
+def _refute_entry(state, effects, worker, incarnation):
+    """Handles an answer of the incarnation before the one in the entry.
+
+    The poll was sent after the entry was read, so that start has not taken
+    place: another writer has put the number there.
+    """
+    fields = {"worker": worker.name, "incarnation": worker.incarnation}
+    effects.append(fx.Log("warning", "entry-refuted", fields))
+    worker.false_incarnation = worker.incarnation
+    worker.incarnation = incarnation
+    worker.restarted = False
+    _unlist_worker(state, effects, worker)
+
+
 def _is_suspicious(state, worker):
     """Returns whether a worker that has runs may have crashed.
 
@@ -180,7 +200,7 @@
         # restarted elsewhere as early as possible.
         lease_until = worker.clock_now(state.now) + state.cfg.max_lease_ms
         worker.lease_granted_at = state.now
-        if not worker.unsaved_ends:
+        if not _must_keep_ends(worker):
             wait_ms = POLL_WAIT_MS
     timeout_ms = min(
         MAX_POLL_TIMEOUT_MS,
@@ -213,10 +233,20 @@
         return
     worker.poll_pending = False
     if event.incarnation < worker.incarnation:
-        worker.poll_due_at = state.now + POLL_RETRY_MS
-        return
+        if not worker.announced_at or event.sent_at < worker.announced_at:
+            worker.poll_due_at = state.now + POLL_RETRY_MS
+            return
+        _refute_entry(state, effects, worker, event.incarnation)
     if event.incarnation > worker.incarnation:
         _on_restart(state, effects, worker, event.incarnation)
+    worker.announced_at = 0
+    if _is_incomplete(event) and not worker.fenced and not leader.settled:
+        # Any run of a former leader may be one that could not be read. It gets
+        # no lease from this leader, and settling waits for its end.
+        _record_failed_poll(
+            state, effects, worker, "unknown", "a row could not be read"
+        )
+        return
     first_answer = not worker.fenced or worker.failed_polls
     if not worker.fenced:
         worker.reached_at = state.now
@@ -231,14 +261,7 @@
     worker.answered_at = state.now
     worker.record_change(leader)
     _save_crashes(state, effects, crashes.take_back(leader, worker))
-    for report in event.ended:
-        if report.number <= worker.last_end_number:
-            continue
-        worker.last_end_number = report.number
-        unsaved = ends.handle_end(state, effects, worker, report)
-        if unsaved:
-            worker.unsaved_ends[report.number] = unsaved
-    update_acknowledged(worker)
+    ends.handle_ends(state, effects, worker, event)
     _reconcile(state, effects, worker, event)
     interference.on_poll(state, effects, worker)
     if first_answer:
@@ -248,18 +271,18 @@
         worker.poll_due_at = state.now
         if worker.name in leader.expiring:
             worker.poll_due_at += roster.UNEXPIRED_POLL_DELAY_MS
-    elif worker.unsaved_ends:
+    elif _must_keep_ends(worker):
         worker.poll_due_at = state.now + UNSAVED_POLL_PAUSE_MS
     else:
         worker.poll_due_at = state.now + POLL_PAUSE_MS
 
 
-def update_acknowledged(worker):
-    """Updates the number up to which the worker may discard reported ends."""
-    if worker.unsaved_ends:
-        worker.acknowledged = min(worker.unsaved_ends) - 1
-    else:
-        worker.acknowledged = worker.last_end_number
+def _must_keep_ends(worker):
+    """Returns whether a worker may not forget all of the ends it reported.
+
+    A poll that does not acknowledge all of them returns at once.
+    """
+    return worker.has_unreadable_end or bool(worker.unsaved_ends)
 
 
 def on_jobs_committed(state, names):
@@ -270,11 +293,19 @@
         for number, job in list(worker.unsaved_ends.items()):
             if job in names:
                 del worker.unsaved_ends[number]
-        update_acknowledged(worker)
+        ends.update_acknowledged(worker)
         if not worker.unsaved_ends and not worker.poll_pending:
             worker.poll_due_at = state.now
 
 
+def _is_incomplete(event):
+    """Returns whether the answer has rows that could not be read.
+
+    A run that it does not list may be one of them, and run or have ended.
+    """
+    return event.has_unreadable_run or event.unreadable_end > 0
+
+
 def _reconcile(state, effects, worker, event):
     """Reconciles the runs that a worker reports with the leader's state."""
     listed = set()
@@ -296,9 +327,12 @@
     for key, task in list(worker.runs.items()):
         if key in listed:
             task.missed_polls = 0
-            continue
-        _on_run_not_listed(state, effects, worker, task, event.sent_at)
-    worker.restarted = False
+        elif not _is_incomplete(event):
+            _on_run_not_listed(state, effects, worker, task, event.sent_at)
+    if event.has_unreadable_run:
+        worker.has_unknown_run = True
+    if not _is_incomplete(event):
+        worker.restarted = False
 
 
 def _update_run(state, task, report):
@@ -362,22 +396,26 @@
         _mark_run_lost(state, effects, worker, task, "not listed")
 
 
-def _on_poll_failed(state, event, effects):
-    if event.op != "look" or state.leader is None:
-        return
-    worker = state.leader.workers.get(event.worker)
-    if worker is None or event.sent_at < state.leader.since:
-        return
-    worker.poll_pending = False
+def _record_failed_poll(state, effects, worker, result, reason):
     worker.failed_polls += 1
     worker.poll_due_at = state.now + POLL_RETRY_MS
     fields = {
         "worker": worker.name,
-        "result": event.result,
-        "reason": event.reason,
+        "result": result,
+        "reason": reason,
         "silent_ms": state.now - worker.answered_at,
     }
     effects.append(fx.Log("warning", "look-failed", fields))
+
+
+def _on_poll_failed(state, event, effects):
+    if event.op != "look" or state.leader is None:
+        return
+    worker = state.leader.workers.get(event.worker)
+    if worker is None or event.sent_at < state.leader.since:
+        return
+    worker.poll_pending = False
+    _record_failed_poll(state, effects, worker, event.result, event.reason)
     if event.reason == "fence":
         orders.suspend_orders(state, effects, worker.name)
     if event.result == "reborn" and event.address == worker.entry.address:
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -196,6 +196,8 @@
         # Capacity and incarnation in its entry.
         self.published = (self.capacity, incarnation)
         self.labels = labels
+        # Whether another writer has put an unreadable entry over its own.
+        self.has_odd_entry = False
         self.draining = False
         self.run_ms = 500
         self.fail = set()
@@ -214,6 +216,8 @@
         # Additional delay of each answer to a poll.
         self.poll_delay_ms = 0
         self.clock = sim.new_clock()
+        # Tasks whose runs or ends no node can read.
+        self.unreadable_tasks = set()
         self.restart(incarnation)
 
     def restart(self, incarnation):
@@ -342,7 +346,10 @@
         """Returns what the answer to a poll says now."""
         self.expire()
         running = []
+        hidden = self.unreadable_tasks
         for key, (attempt, _, checkpoint) in self.runs.items():
+            if key in hidden:
+                continue
             measurement = self.sim.measurement_of(self.sim, self, key)
             percent = 100 if self.sim.runs_until_cancelled(key) else 50
             running.append(
@@ -354,7 +361,9 @@
             self.incarnation,
             self.clock.now(),
             tuple(running),
-            tuple(self.ends),
+            tuple(end for end in self.ends if end.key not in hidden),
+            any(key in hidden for key in self.runs),
+            min((e.number for e in self.ends if e.key in hidden), default=0),
         )
 
     def start(self, effect):
@@ -701,7 +710,7 @@
                 return
             if table == "workers":
                 event = events.WorkersChanged(
-                    node.clock.now(), True, self.entries(), ()
+                    node.clock.now(), True, self.readable_entries(), ()
                 )
             else:
                 rows = self.store.table(table)
@@ -766,7 +775,9 @@
         """
         if worker.name in self.unlisted_workers:
             return
-        entries = (worker.entry(),)
+        changed = ((worker.entry(),), ())
+        if worker.has_odd_entry:
+            changed = ((), (worker.name,))
         for node in self.nodes.values():
             if "workers" not in node.watched:
                 continue
@@ -777,7 +788,7 @@
             self.deliver(
                 node,
                 STORE_DELAY_MS,
-                lambda at: events.WorkersChanged(at, False, entries, ()),
+                lambda at: events.WorkersChanged(at, False, *changed),
             )
 
     def serves(self, node, table):
@@ -786,19 +797,20 @@
             return False
         return self.store.is_readable(node)
 
-    def entries(self):
-        """Returns the entries that the store has now."""
+    def readable_entries(self):
+        """Returns the entries that the store has now and nodes can read."""
         found = []
         for worker in self.workers.values():
-            if worker.name not in self.unlisted_workers:
-                found.append(worker.entry())
+            if worker.name in self.unlisted_workers or worker.has_odd_entry:
+                continue
+            found.append(worker.entry())
         return tuple(found)
 
     def publish_workers(self):
         """Sends the current worker entries to all nodes."""
         for worker in self.workers.values():
             worker.published = (worker.capacity, worker.incarnation)
-        entries = self.entries()
+        entries = self.readable_entries()
         for node in self.nodes.values():
             if not self.store.is_readable(node):
                 node.missed.add("workers")
