Check what the operator, the machine list and the advice say

A row of the operator's table without a key, or that is not an object, raised an error outside of the check, and the other rows of the answer were lost: a configuration that came with it was not applied. Odd values were passed on: a list as the name of a queue, a number as a prefix, a wave of 2**64 - 1 or with machines that are not texts, an objective of 1e300 ms.

In the list of machines one odd machine still makes the page unreadable, since a wave takes a machine that is missing for one that is gone. In the list of advice an odd row gives no ticket, and the others hold.

--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -95,6 +95,28 @@
 )
 
 
+# Stands for a list of more levels than can be encoded here.
+NESTED = "nested"
+
+
+def nested(depth):
+    """Returns a list of many levels."""
+    value = []
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
+def encode(fields):
+    """Returns the JSON text of a message, with NESTED replaced."""
+    levels = b"[" * 1_000 + b"]" * 1_000
+    return json.dumps(fields).encode().replace(b'"nested"', levels)
+
+
+def short_id(value):
+    return repr(value)[:60]
+
+
 class Meters:
     def __init__(self):
         self.recorded = []
@@ -295,6 +317,7 @@
             {"steps": {"count": 1}},
             {"steps": [{"count": 1}], "spec": "\ud800"},
             {"steps": [{"count": 1, "after": [[]]}]},
+            {"steps": [{"count": 1, "image": NESTED}]},
             [],
         ],
     )
@@ -302,7 +325,7 @@
         """Guards against a job that each leader in turn dies of, such as one of
         a thousand million tasks."""
         with pytest.raises(exceptions.BadInput):
-            wire.decode_job(json.dumps(fields).encode())
+            wire.decode_job(encode(fields))
 
     @pytest.mark.parametrize("text", ["", "-1", "1e3", "²", "9" * 5_000])
     def test_deadline_of_a_client_may_be_any_text(self, text):
@@ -310,6 +333,137 @@
         assert callers._deadline_ms({"Skylarklug-Deadline-Ms": text}) >= 0
 
 
+def operator_events(*rows):
+    lines = []
+    decode = store.rows_decoder(lambda *line: lines.append(line))
+    return decode(1, "operator", False, list(rows)), lines
+
+
+def operator_row(key, fields):
+    value = base64.b64encode(encode(fields)).decode()
+    return {"key": key, "value": value}
+
+
+def configuration(**fields):
+    route = {**standin.CONFIGURATION["routes"][0], **fields}
+    return {**standin.CONFIGURATION, "routes": [route]}
+
+
+WAVE = {"wave": 1, "machines": ["m-1"], "period_s": 20, "max_count": 1}
+ODD_OPERATOR_ROWS = [
+    None,
+    5,
+    [],
+    {},
+    {"key": 5},
+    {"key": [1], "tombstone": True},
+    {"key": "config"},
+    {"key": "config", "value": "%%%"},
+    operator_row("config", []),
+    operator_row("config", {"version": 9, "routes": [5]}),
+    operator_row("config", configuration(name=[1])),
+    operator_row("config", configuration(prefix=5)),
+    operator_row("config", configuration(host=NESTED)),
+    operator_row("config", configuration(service=None)),
+    operator_row("config", configuration(slo_ms=1e300)),
+    operator_row("config", configuration(advice={"decide_ms": -1})),
+    operator_row("wave/1", {**WAVE, "wave": 2**64 - 1}),
+    operator_row("wave/1", {**WAVE, "wave": 1e300}),
+    operator_row("wave/1", {**WAVE, "machines": [5]}),
+    operator_row("wave/1", {**WAVE, "machines": None}),
+    operator_row("wave/1", {**WAVE, "period_s": "soon"}),
+    operator_row("wave/1", {**WAVE, "max_count": -1}),
+]
+
+
+class TestOperatorRows:
+    @pytest.mark.parametrize("row", ODD_OPERATOR_ROWS, ids=short_id)
+    def test_odd_row_hides_no_other(self, row):
+        """Guards against one odd row that hides a configuration or a wave, or
+        is passed on as one."""
+        good = operator_row("config", standin.CONFIGURATION)
+        found, lines = operator_events(row, good, operator_row("wave/1", WAVE))
+        assert [type(event).__name__ for event in found] == [
+            "ConfigurationRead",
+            "WaveRequested",
+        ]
+        assert len(lines) == 1
+
+
+class TestMachineLists:
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"machine": [1]},
+            {"pool": None},
+            {"state": 5},
+            {"id": {"a": 1}},
+        ],
+    )
+    def test_odd_machine_makes_the_page_unreadable(self, fields):
+        """Guards against a wave that ends without a machine, because the
+        machine is missing in a list that seems complete."""
+        machine = {"machine": "m", "pool": "p", "state": "up", "id": "w1"}
+        rows = [machine, {**machine, **fields}]
+        with pytest.raises(wire.MALFORMED):
+            wire.decode_machines({"machines": rows, "next_token": None})
+        for token in (5, [], {}):
+            with pytest.raises(wire.MALFORMED):
+                wire.decode_machines({"machines": [], "next_token": token})
+
+
+class TestAdvice:
+    def test_odd_row_gives_no_ticket(self):
+        """Guards against one odd row that hides all tickets, or is sent as
+        one."""
+        rows = [
+            None,
+            5,
+            ["w0"],
+            ["w0", 5],
+            ["w0", nested(5)],
+            [[], "t"],
+            ["w0\r\n", "t"],
+            ["w1", "t1"],
+        ]
+
+        async def request():
+            http = client.Client(connections=4, connect_timeout_ms=500)
+            server = standin.Worker("advice")
+            server.fixed_answer = (200, {"good": rows, "valid_ms": 500})
+            advice = workers.AdviceClient(
+                server.address, http, lambda *line: None
+            )
+            effect = fx.RequestAdvice("j", 0, 0, ("w0", "w1"), 500)
+            found = await advice.request(effect)
+            http.close()
+            return found
+
+        assert asyncio.run(request()) == (True, {"w1": "t1"}, 500)
+
+
+class TestRejections:
+    @pytest.mark.parametrize("reason", [None, 5, nested(500), {}])
+    def test_odd_reason_is_none(self, reason):
+        """Guards against a rejection whose odd reason is an unexpected error,
+        so that the order is repeated."""
+
+        async def start():
+            http = client.Client(connections=4, connect_timeout_ms=500)
+            worker = standin.Worker("w1")
+            worker.fixed_answer = (409, {"reason": reason})
+            worker_client = workers.WorkerClient(
+                http, lambda *line: None, lambda: 0
+            )
+            key = records.TaskKey("a", 0, 0, 0)
+            effect = fx.StopRun("w1", worker.address, 3, key, 2, 500, 9_000)
+            result = await worker_client.stop(effect)
+            http.close()
+            return result
+
+        assert asyncio.run(start()) == ("rejected", "")
+
+
 class TestNode:
     def test_failing_call_is_an_unknown_result(self):
         """Guards against a process that ends, or waits forever, because a call
