--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -318,6 +318,10 @@
             {"steps": [{"count": 1}], "spec": "\ud800"},
             {"steps": [{"count": 1, "after": [[]]}]},
             {"steps": [{"count": 1, "image": NESTED}]},
+            {"steps": [{"count": 1, "est_ms": 1e300}]},
+            {"steps": [{"count": 1, "cpu": 2**64 - 1}]},
+            {"steps": [{"count": 1, "may_miss": -(10**30)}]},
+            {"steps": [{"count": 1}], "first_ms": 1e300},
             [],
         ],
     )
