Estimate interference only on the first workers of a search

Cause: a search for a best-effort task scored each worker in full. A full score includes the interference with all serving tasks there, which each poll of that worker invalidates.

Evidence: the new test counts the estimates of a search. On the old code it fails with 1428 estimates in 29 searches of 40 workers each.

Change: a worker first counts with a lower bound of its score, without the interference. The heap of a search already scores its first worker again before use, so only those that come first are scored in full. The result is the same, which the other new test checks against the scores of all workers.

--- a/packages/core/src/skylarklug/scheduler/scoring.py
+++ b/packages/core/src/skylarklug/scheduler/scoring.py
@@ -177,8 +177,12 @@
         )
 
 
-def _score(state, worker, task, reserve):
-    """Returns a sort key, lowest best, or None if the task does not fit."""
+def _score(state, worker, task, reserve, is_bound=False):
+    """Returns a sort key, lowest best, or None if the task does not fit.
+
+    With `is_bound`, it is a lower bound of that key, which takes a fraction of
+    the time: it leaves out the interference with serving tasks.
+    """
     step = task.step
     if not fits(worker, step):
         return None
@@ -194,7 +198,7 @@
         return None
     prefix = (unreliable, crashes.trial_risk(task, worker), rack_mismatch)
     if step.best_effort:
-        return _score_best_effort(state, worker, task, prefix)
+        return _score_best_effort(state, worker, task, prefix, is_bound)
     capacity = worker.entry.capacity.cpu
     free = capacity - worker.used[0] - step.resources.cpu
     if step.runs_until_cancelled:
@@ -220,12 +224,11 @@
     return (*prefix, free)
 
 
-def _score_best_effort(state, worker, task, prefix):
+def _score_best_effort(state, worker, task, prefix, is_bound):
     spare = _spare_cpu(worker)
-    speed = min(
-        spare / max(1, task.step.resources.cpu),
-        interference.headroom(state, worker, task),
-    )
+    speed = min(1.0, spare / max(1, task.step.resources.cpu))
+    if not is_bound:
+        speed = min(speed, interference.headroom(state, worker, task))
     needed = MIN_INITIAL_SPEED
     if state.now - task.speed_wanted_since >= SPEED_WAIT_MS:
         needed = MIN_SPEED_AFTER_WAIT
@@ -244,7 +247,8 @@
     """Candidate workers by their score for the tasks of one step.
 
     Starting a task only changes the score of its worker, so the others need
-    not be scored again for the next task.
+    not be scored again for the next task. A worker first counts with the lower
+    bound of its score; only the first of them are scored in full.
     """
 
     def __init__(self, state, task, candidates):
@@ -254,7 +258,7 @@
         self._excluded = set()
         self._heap = []
         for number, worker in enumerate(candidates):
-            score = _score(state, worker, task, self._reserve)
+            score = _score(state, worker, task, self._reserve, is_bound=True)
             if score is not None:
                 self._heap.append((score, number))
         heapq.heapify(self._heap)
--- a/tests/scheduler/test_interference.py
+++ b/tests/scheduler/test_interference.py
@@ -6,6 +6,7 @@
 from skylarklug.scheduler import interference
 from skylarklug.scheduler import interference_model
 from skylarklug.scheduler import records
+from skylarklug.scheduler import scoring
 
 # Longest time for which the platform lets a task stay over its target without
 # interruption.
@@ -304,3 +305,83 @@
         sim.run(3_500)
         for number in range(2, 9):
             assert sim.running(number)
+
+
+class TestSearch:
+    """The search for the worker on which a best-effort task is fastest."""
+
+    def submit_mixed_load(self, sim):
+        sim.measurement_of = LatencyModel(
+            {"loud": 3.0, "calm": 0.3}, constant_load
+        )
+        for worker in sim.workers.values():
+            worker.run_ms = 3_000
+        serving = fakes.step(
+            len(sim.workers),
+            cpu=8_000,
+            runs_until_cancelled=True,
+            image="web",
+            target_ms=150,
+        )
+        sim.submit(1, serving)
+        sim.run(4_000)
+        for number in range(2, 30):
+            best_effort = fakes.step(
+                6,
+                cpu=2_000 + 900 * (number % 4),
+                best_effort=True,
+                image="loud" if number % 2 else "calm",
+                checkpoints=True,
+            )
+            sim.submit(number, best_effort)
+            sim.run(400)
+
+    def test_worker_found_is_the_best_of_all(self, deployment, monkeypatch):
+        """Guards against a lower bound of a score that hides a better
+        worker."""
+        sim = deployment(workers=12)
+        found = []
+
+        class CheckedSearch(scoring.Search):
+            def best_worker(self, state, task):
+                scores = []
+                for number, worker in enumerate(self._candidates):
+                    score = scoring._score(state, worker, task, self._reserve)
+                    if score is not None:
+                        scores.append((score, number))
+                worker = super().best_worker(state, task)
+                best = None
+                if scores:
+                    best = self._candidates[min(scores)[1]]
+                found.append(worker)
+                assert worker is best
+                return worker
+
+        monkeypatch.setattr(scoring, "Search", CheckedSearch)
+        self.submit_mixed_load(sim)
+        assert None in found
+        assert len(found) - found.count(None) > 80
+
+    def test_search_estimates_interference_on_few_workers(
+        self, deployment, monkeypatch
+    ):
+        """Guards against a leader that spends its processor time on estimates
+        for all workers although the first one will do."""
+        sim = deployment(workers=40)
+        counts = {"headroom": 0, "searches": 0}
+        headroom = interference.headroom
+
+        def count_headroom(state, worker, task):
+            counts["headroom"] += 1
+            return headroom(state, worker, task)
+
+        class CountedSearch(scoring.Search):
+            def __init__(self, *args):
+                counts["searches"] += 1
+                super().__init__(*args)
+
+        monkeypatch.setattr(interference, "headroom", count_headroom)
+        monkeypatch.setattr(scoring, "Search", CountedSearch)
+        self.submit_mixed_load(sim)
+        assert counts["searches"] > 20
+        assert counts["headroom"] < 20 * counts["searches"]
