--- a/packages/node/src/skylarklugd/logs.py
+++ b/packages/node/src/skylarklugd/logs.py
@@ -1,6 +1,7 @@
 """Structured logging with one key=value line per event."""
 
 import json
+import re
 from typing import Any
 
 from absl import logging
@@ -17,6 +18,9 @@
     {"place", "request-failed", "route", "run-lost", "start-failed"}
 )
 
+# Characters that would break a line's format.
+_UNSAFE_CHARACTERS = re.compile(r'[ "=\n\r\t]')
+
 _LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -32,7 +36,7 @@
     if isinstance(value, (list, tuple)):
         value = ",".join(format_value(item) for item in value)
     text = str(value)
-    if not text or any(char in text for char in ' "=\n\r\t'):
+    if not text or _UNSAFE_CHARACTERS.search(text):
         return json.dumps(text)
     return text
 
--- a/packages/node/src/skylarklugd/metrics.py
+++ b/packages/node/src/skylarklugd/metrics.py
@@ -34,13 +34,23 @@
 
 
 class Metrics:
-    """Records measurements and renders them as JSON or text."""
+    """Records measurements and renders them as text or as JSON.
+
+    Each reader takes part in each measurement, so there is only one of them.
+
+    Args:
+        cfg: The settings of metrics; with `text`, `render_text` returns the
+            metrics, otherwise `render` does.
+        node: Name of the node.
+    """
 
     def __init__(self, cfg, node: str):
-        self._reader = export.InMemoryMetricReader()
-        readers = [self._reader]
+        self._reader = None
         if cfg.get("text"):
-            readers.append(prometheus.PrometheusMetricReader())
+            readers = [prometheus.PrometheusMetricReader()]
+        else:
+            self._reader = export.InMemoryMetricReader()
+            readers = [self._reader]
         if cfg.get("otlp_endpoint"):
             # Imported on demand: it takes as long as all other imports.
             from opentelemetry.exporter.otlp.proto.http import metric_exporter
@@ -85,7 +95,9 @@
 
     def render(self) -> str:
         """Returns all metrics in the OpenTelemetry JSON format."""
-        data = self._reader.get_metrics_data()
+        data = None
+        if self._reader is not None:
+            data = self._reader.get_metrics_data()
         if data is None:
             return json.dumps({"resource_metrics": []})
         return data.to_json()
