--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
     "routing",
     "placement",
     "interference",
+    "leader",
     "shared_state",
     "memory",
     "control",
