--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,8 @@
     "datapath",
     "routing",
     "placement",
+    "interference",
+    "leader",
     "shared_state",
     "memory",
     "control",
