Test take-overs with a slow store

Cause: a leader that reckons with the store's clock must not take the time of a slow call for a part of a lease. Change: answers of the simulated store can be slow on their way back; a test of safety and a fault of the random take-overs use it.

--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -111,8 +111,9 @@
         self.rows = {}
         self.version = 0
         self.modes = {}
-        # Additional duration of each transaction.
+        # Additional duration of each transaction, and of its answer's way.
         self.slow_ms = 0
+        self.slow_answers_ms = 0
         self.late_ms = 3_000
         # Whether it refuses the entries of workers.
         self.refuses_workers = False
@@ -618,11 +619,14 @@
 
         def apply():
             status, version, rows = self.store.commit(node, effect)
-            delay = STORE_DELAY_MS // 2
+            delay = STORE_DELAY_MS // 2 + self.store.slow_answers_ms
             if self.now - sent_at >= effect.timeout_ms:
                 status, version, rows = "unknown", 0, ()
             elif status == "unknown":
                 delay = effect.timeout_ms
+            elif self.now + delay - sent_at > effect.timeout_ms:
+                delay = sent_at + effect.timeout_ms - self.now
+                status, version, rows = "unknown", 0, ()
             store_ms = self.store.clock_ms(status)
             self.deliver(
                 node,
--- a/tests/scheduler/test_random_takeovers.py
+++ b/tests/scheduler/test_random_takeovers.py
@@ -66,6 +66,7 @@
                 self.fail_store_of_leader,
                 self.fail_store_of_leader,
                 self.fail_store,
+                self.slow_store,
                 self.cut_zone,
             ]
 
@@ -167,6 +168,18 @@
 
         self.sim.after(duration_ms, end)
 
+    def slow_store(self):
+        self.sim.store.slow_ms = self.between(0, 950)
+        self.sim.store.slow_answers_ms = self.between(0, 950)
+        self.lost_leader_at = self.sim.now
+
+        def end():
+            self.sim.store.slow_ms = 0
+            self.sim.store.slow_answers_ms = 0
+            self.lost_leader_at = self.sim.now
+
+        self.sim.after(self.between(500, 6_000), end)
+
     def cut_zone(self):
         """Cuts the leader and a worker off from the others and the store."""
         node = self.leader()
@@ -276,7 +289,13 @@
 
     def end_all(self):
         """Ends the faults of the store, of links and of suspended nodes."""
+        if self.sim.store.slow_ms or self.sim.store.slow_answers_ms:
+            self.lost_leader_at = self.sim.now
+        if self.sim.store.modes:
+            self.lost_leader_at = self.sim.now
         self.sim.store.modes.clear()
+        self.sim.store.slow_ms = 0
+        self.sim.store.slow_answers_ms = 0
         self.sim.cut_links.clear()
         self.sim.mute_workers.clear()
         for worker in self.sim.workers.values():
--- a/tests/scheduler/test_takeover_safety.py
+++ b/tests/scheduler/test_takeover_safety.py
@@ -140,6 +140,25 @@
         takeovers.play_takeovers(sim, how)
         self.check(sim, worker, key)
 
+    @takeovers.LISTED
+    @TAKEOVERS
+    @pytest.mark.parametrize(
+        "slow_ms, slow_answers_ms", ((900, 0), (0, 900), (450, 450))
+    )
+    def test_store_is_slow(
+        self, deployment, listed, how, slow_ms, slow_answers_ms
+    ):
+        """Guards against a second run of a task by a leader that takes the
+        time of a slow call to the store for a part of a lease."""
+        sim, worker, key = self.prepare(deployment)
+        sim.store.slow_ms = slow_ms
+        sim.store.slow_answers_ms = slow_answers_ms
+        sim.run(3_000)
+        sim.silent_workers.add(worker.name)
+        takeovers.list_worker(sim, worker.name, listed)
+        takeovers.play_takeovers(sim, how)
+        self.check(sim, worker, key)
+
     @takeovers.LISTED
     @TAKEOVERS
     @pytest.mark.parametrize("reached_ms", (2_000, 5_900))
