--- a/tests/scheduler/test_takeover_safety.py
+++ b/tests/scheduler/test_takeover_safety.py
@@ -5,6 +5,7 @@
 """
 
 import pytest
+import scheduler_fakes as fakes
 import takeovers
 
 HOW = pytest.mark.parametrize(
@@ -262,3 +263,37 @@
         takeovers.end_leader(sim, how)
         sim.run(15_000)
         self.check(sim)
+
+
+class TestWorkerWithUnsavedEnds:
+    """A silent worker whose ends were read, but not saved or acknowledged."""
+
+    @pytest.mark.parametrize("how", ("stop", "kill"))
+    @takeovers.LISTED
+    def test_done_task_starts_again(self, deployment, listed, how):
+        """Guards against a second run of a task that was done on a worker that
+        falls silent before the end is saved, and returns within its lease."""
+        sim = deployment(workers=3)
+        sim.submit(1, takeovers.lasting(1, cpu=1_000))
+        sim.submit(2, fakes.step(cpu=9_000))
+        for worker in sim.workers.values():
+            worker.run_ms = 5_000
+        sim.run(4_900)
+        ((key, name),) = sim.running(2)
+        former = sim.leader()
+        sim.store.modes[former.name] = "refuse"
+        while not sim.log_of("end"):
+            sim.run(1)
+        sim.silent_workers.add(name)
+        sim.run(1_300)
+        takeovers.list_worker(sim, name, listed)
+        sim.store.modes.clear()
+        takeovers.end_leader(sim, how)
+        takeovers.run_until_leader(sim, former)
+        sim.run(1_500)
+        sim.silent_workers.discard(name)
+        takeovers.list_worker(sim, name, listed=True)
+        sim.run(20_000)
+        assert not sim.find_problems()
+        assert len([row for row in sim.starts if row[1] == key]) == 1
+        assert sim.state_of(2) == "done"
