Keep a worker with unsaved ends among those that a successor waits for

Cause: the record of a silent worker named only its current runs. A task that it had reported as done, but whose end was not saved, was started again by the next leader while the worker could still return and have its end acknowledged. Change: a worker with unsaved or unreadable ends stays in the roster, and its record allows any task.

--- a/packages/core/src/skylarklug/scheduler/ends.py
+++ b/packages/core/src/skylarklug/scheduler/ends.py
@@ -79,6 +79,14 @@
     return ""
 
 
+def must_keep_ends(worker) -> bool:
+    """Returns whether a worker may not forget all of the ends it reported.
+
+    A poll that does not acknowledge all of them returns at once.
+    """
+    return worker.has_unreadable_end or bool(worker.unsaved_ends)
+
+
 def _unsaved_job(leader, job):
     """Returns the job if its row is not committed yet, or "".
 
--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -9,6 +9,7 @@
 
 from skylarklug.scheduler import crashes
 from skylarklug.scheduler import effects as fx
+from skylarklug.scheduler import ends
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
 from skylarklug.scheduler import leases
@@ -118,12 +119,23 @@
     return granted_at + leadership.lease_ms(state.cfg)
 
 
+def _has_unknown_work(worker):
+    """Returns whether a worker has more than the leader's tasks.
+
+    A task whose end is not saved counts: a new leader would start it again
+    unless the worker reports the end.
+    """
+    if worker.unwanted_runs or worker.has_unknown_run:
+        return True
+    return ends.must_keep_ends(worker)
+
+
 def _may_hold_runs(state, worker):
     """Returns whether a worker may run something now or soon."""
     leader = state.leader
     if worker.name in leader.former_workers:
         return True
-    if worker.runs or worker.unwanted_runs or worker.has_unknown_run:
+    if worker.runs or _has_unknown_work(worker):
         return True
     if not worker.answered_at:
         # It has had no order.
@@ -151,9 +163,7 @@
     former = state.leader.former_workers.get(worker.name)
     if former is not None:
         return former.expiry
-    tasks = None
-    if not worker.unwanted_runs and not worker.has_unknown_run:
-        tasks = frozenset(worker.runs)
+    tasks = None if _has_unknown_work(worker) else frozenset(worker.runs)
     return leases.Expiry(lease_ends_at(state, worker), tasks)
 
 
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -200,7 +200,7 @@
         # restarted elsewhere as early as possible.
         lease_until = worker.clock_now(state.now) + state.cfg.max_lease_ms
         worker.lease_granted_at = state.now
-        if not _must_keep_ends(worker):
+        if not ends.must_keep_ends(worker):
             wait_ms = POLL_WAIT_MS
     timeout_ms = min(
         MAX_POLL_TIMEOUT_MS,
@@ -271,20 +271,12 @@
         worker.poll_due_at = state.now
         if worker.name in leader.expiring:
             worker.poll_due_at += roster.UNEXPIRED_POLL_DELAY_MS
-    elif _must_keep_ends(worker):
+    elif ends.must_keep_ends(worker):
         worker.poll_due_at = state.now + UNSAVED_POLL_PAUSE_MS
     else:
         worker.poll_due_at = state.now + POLL_PAUSE_MS
 
 
-def _must_keep_ends(worker):
-    """Returns whether a worker may not forget all of the ends it reported.
-
-    A poll that does not acknowledge all of them returns at once.
-    """
-    return worker.has_unreadable_end or bool(worker.unsaved_ends)
-
-
 def on_jobs_committed(state, names):
     """Removes the unsaved ends of jobs whose rows have been committed."""
     for worker in state.leader.workers.values():
