Take no worker for gone because its entry names another address

Cause: an entry that names the address of another worker made the leader poll that one, take the answer "another instance" for a proof that the worker had ended, and start its tasks elsewhere at once. Evidence: test_odd_entries.py::TestFalseAddress::test_runs_go_on fails on the former code: the task starts again while its first run goes on. Change: an entry with another address and the same incarnation names no worker to use.

--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -237,6 +237,7 @@
         lease_granted_at: When the latest order that renews its lease was
             sent.
         answered_at: When it last answered.
+        answered_address: Address at which its current incarnation answered.
         reached_at: When its current incarnation first answered.
         poll_pending: Whether a poll is in flight.
         failed_polls: Consecutive polls that failed.
@@ -254,6 +255,7 @@
         "acknowledged",
         "allowed_shares",
         "answered_at",
+        "answered_address",
         "recent_failures",
         "announced_at",
         "false_incarnation",
@@ -309,6 +311,7 @@
         self.later_ends: set[int] = set()
         self.lease_granted_at = 0
         self.answered_at = 0
+        self.answered_address = ""
         self.reached_at = 0
         self.poll_pending = False
         self.failed_polls = 0
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -72,6 +72,13 @@
     if entry.incarnation and entry.incarnation == worker.false_incarnation:
         _unlist_worker(state, effects, worker)
         return
+    if (
+        worker.answered_address not in ("", entry.address)
+        and entry.incarnation == worker.incarnation
+    ):
+        # An instance keeps its address.
+        _unlist_worker(state, effects, worker)
+        return
     if entry.draining and not worker.entry.draining:
         _log_worker(state, effects, worker, "draining")
     if entry.incarnation > worker.incarnation:
@@ -112,6 +119,7 @@
         _record_crash(state, effects, worker, lost=True, proven=True)
     worker.incarnation = incarnation
     worker.replaced = False
+    worker.answered_address = ""
     worker.fenced = False
     worker.clock = (0, 0)
     worker.acknowledged = 0
@@ -259,6 +267,7 @@
     worker.failed_polls = 0
     worker.clock = (event.clock_ms, state.now)
     worker.answered_at = state.now
+    worker.answered_address = worker.entry.address
     worker.record_change(leader)
     _save_crashes(state, effects, crashes.take_back(leader, worker))
     ends.handle_ends(state, effects, worker, event)
@@ -410,10 +419,23 @@
     _record_failed_poll(state, effects, worker, event.result, event.reason)
     if event.reason == "fence":
         orders.suspend_orders(state, effects, worker.name)
-    if event.result == "reborn" and event.address == worker.entry.address:
+    if event.result == "reborn" and _is_own_address(state, worker, event):
         _on_address_reused(state, effects, worker)
 
 
+def _is_own_address(state, worker, event):
+    """Returns whether a worker had the address at which another one answers.
+
+    An entry may name the address of another worker by mistake.
+    """
+    if event.address != worker.entry.address:
+        return False
+    if event.address == worker.answered_address:
+        return True
+    former = state.leader.former_workers.get(worker.name)
+    return former is not None and former.address == event.address
+
+
 def _on_address_reused(state, effects, worker):
     """Handles a worker whose address another instance has.
 
--- a/tests/scheduler/test_odd_entries.py
+++ b/tests/scheduler/test_odd_entries.py
@@ -206,3 +206,37 @@
         assert len(sim.running(1)) == 2
         assert len(sim.starts) == 4
         assert not sim.find_problems()
+
+
+class TestFalseAddress:
+    """An entry that names the address of another worker."""
+
+    def test_runs_go_on(self, deployment):
+        """Guards against a second run of a task because another worker answers
+        at the address in the entry."""
+        sim = deployment(workers=3)
+        first, *_ = run_tasks(sim, LONG_RUNNING)
+        running = sim.running(1)
+        sim.workers[first].false_address = "w2:1"
+        sim.publish_entry(sim.workers[first])
+        sim.run(20_000)
+        check_undisturbed(sim, running)
+        sim.workers[first].false_address = ""
+        sim.publish_entry(sim.workers[first])
+        sim.run(1_000)
+        assert sim.leader().state.leader.workers[first].listed
+
+    @pytest.mark.parametrize("end_leader", [kill_leader, stop_leader])
+    def test_task_does_not_run_twice_after_a_takeover(
+        self, deployment, end_leader
+    ):
+        """Guards against the same by a leader that has not been answered by
+        the worker: its leases must end first."""
+        sim = deployment(workers=3)
+        first, *_ = run_tasks(sim, LONG_RUNNING)
+        sim.workers[first].false_address = "w2:1"
+        sim.publish_entry(sim.workers[first])
+        end_leader(sim)
+        sim.run(25_000)
+        assert not sim.find_problems()
+        assert len(sim.running(1)) == 2
