Keep what leaders record for their successors true

The saved roster now has only what either commit may have stored. - A leader that could not read the row renewed leases that it recorded. Until it has written a row, it renews none of a former worker. - A later step was started beside an unneeded run of an earlier one before the row was saved; a new leader took that run for a proof that the step had not begun. Tasks of such a job wait for the row. - The first commit of a new leader dropped the records of listed silent workers, so a leader killed within a second made the next one wait anew. - An unsettled leader recorded one end of all leases when it stopped, later with each leader of a series. It now records that of each worker.

--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -254,10 +254,19 @@
     return _is_ready(job, occurrence, step)
 
 
+def must_wait_for_save(leader, job) -> bool:
+    """Returns whether the job's row must be saved before its tasks start."""
+    name = job.spec.job
+    if name not in leader.dirty and name not in leader.saving:
+        job.awaits_save = False
+    return job.awaits_save
+
+
 def release_later_steps(job, key):
     """Lets the steps that wait for a task start once it is done.
 
-    Called for a task that still runs, so no former leader has started them.
+    Called for a run that a new leader has found. A former leader has started
+    later steps beside it only if the row shows that the task is done.
     """
     waiting = {key.step}
     for number, step in enumerate(job.spec.steps):
@@ -332,7 +341,10 @@
     done.add(key.index)
     dequeue(leader, task)
     if task.worker:
-        # Another run of the task still exists and is not needed any more.
+        # Another run of the task still exists and is not needed any more. A new
+        # leader that finds it takes it for a proof that later steps have not
+        # begun, unless the row shows that the task is done.
+        job.awaits_save = True
         orders.stop(state, effects, task, "already done")
     else:
         remove_task(job, task)
--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -415,8 +415,12 @@
         expiries, former_release = leases.decode(
             reading, row.value, leader.epoch, since_epoch
         )
-    except (AttributeError, KeyError, TypeError, ValueError):
-        fields = {"key": row.key}
+    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+        # A later leader may be able to read it, so it holds for any worker
+        # until this leader has written another one.
+        leader.expiring = frozenset(leader.former_workers)
+        leader.expiries_saved = None
+        fields = {"key": row.key, "reason": repr(exc)}
         effects.append(fx.Log("error", "row-unreadable", fields))
         return
     for name, former in leader.former_workers.items():
--- a/packages/core/src/skylarklug/scheduler/leases.py
+++ b/packages/core/src/skylarklug/scheduler/leases.py
@@ -88,6 +88,19 @@
     waiting: frozenset[records.TaskKey]
 
 
+def limit_tasks(expiries: dict[str, Expiry]) -> dict[str, Expiry]:
+    """Returns the expiries with at most `MAX_TASKS` tasks named in total."""
+    limited = {}
+    task_count = 0
+    for name, expiry in expiries.items():
+        if expiry.tasks is not None:
+            task_count += len(expiry.tasks)
+            if task_count > MAX_TASKS:
+                expiry = expiry._replace(tasks=None)
+        limited[name] = expiry
+    return limited
+
+
 def latest_store_ms(reading: ClockReading, at: int) -> int:
     """Returns what the store's clock shows at most when ours shows `at`."""
     elapsed = max(0, at - reading.sent_at)
@@ -115,13 +128,10 @@
         release: Given if the leader stops.
     """
     workers = {}
-    task_count = 0
     for name, expiry in expiries.items():
         tasks = None
         if expiry.tasks is not None:
-            task_count += len(expiry.tasks)
-            if task_count <= MAX_TASKS:
-                tasks = _encode_tasks(expiry.tasks)
+            tasks = _encode_tasks(expiry.tasks)
         workers[name] = [_store_ms(reading, expiry), tasks]
     value = {"epoch": epoch, "workers": workers}
     if release is not None:
@@ -159,9 +169,12 @@
 
     Returns:
         (expiries by worker, the release of the former leader or None).
+
+    Raises:
+        ValueError: The store's clock is not known.
     """
     if not reading.store_ms:
-        return {}, None
+        raise ValueError("the store's clock is not known")
     written_in = value["epoch"]
     if not since_epoch <= written_in < epoch:
         return {}, None
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -193,6 +193,9 @@
     if task.not_before > state.now:
         task.wait_reason = waiting.DELAYED
         return False
+    if task.job.awaits_save and jobs.must_wait_for_save(state.leader, task.job):
+        task.wait_reason = waiting.DELAYED
+        return False
     if task.held and roster.may_still_run(state.leader, task.key):
         task.wait_reason = waiting.NOT_SETTLED
         return False
--- a/packages/core/src/skylarklug/scheduler/progress.py
+++ b/packages/core/src/skylarklug/scheduler/progress.py
@@ -133,6 +133,8 @@
 
 def _on_job_saved(state, leader, job, job_state, version):
     job.version = version
+    if job.awaits_save:
+        leader.placement_requested = True
     if not job.start_recorded:
         job.start_recorded = True
         leader.placement_requested = True
--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -145,17 +145,27 @@
     return leader.confirmed_at < lease_ends_at(state, worker)
 
 
-def _is_silent(state, worker, stopping):
-    """Returns whether it is worth recording when a worker's leases end."""
-    if stopping and not worker.listed:
+def _should_record(state, worker, stopping):
+    """Returns whether to record when the leases of a worker end.
+
+    A leader that is stopping renews no more leases, so that each failed poll
+    counts. The record of a worker that answers is of use if the next leader
+    does not reach it; a leader that has not settled cannot tell the end of all
+    leases otherwise.
+    """
+    leader = state.leader
+    if stopping and (not worker.listed or not leader.settled):
         return True
     if worker.fenced and not worker.failed_polls:
         return False
     if stopping or not worker.listed:
         return True
-    if worker.name in state.leader.former_workers:
-        return state.now >= state.leader.since + FIRST_ANSWER_MS
-    return state.now >= worker.answered_at + SILENT_WORKER_MS
+    former = leader.former_workers.get(worker.name)
+    if former is None:
+        return state.now >= worker.answered_at + SILENT_WORKER_MS
+    # What a former leader has recorded stays in the row.
+    is_recorded = former.expiry.store_ms > 0
+    return is_recorded or state.now >= leader.since + FIRST_ANSWER_MS
 
 
 def _expiry(state, worker):
@@ -167,21 +177,17 @@
     return leases.Expiry(lease_ends_at(state, worker), tasks)
 
 
-def _contents(state, stopping=False):
-    """Returns the workers of the roster, and expiries of the silent ones.
-
-    A leader that is stopping renews no more leases, so workers count as silent
-    after one failed poll, or if they are not listed.
-    """
+def _kept_workers(state, stopping=False):
+    """Returns the workers of the roster, and the expiries to record."""
     kept = []
     expiries = {}
     for worker in state.leader.workers.values():
         if not _may_hold_runs(state, worker):
             continue
         kept.append(worker)
-        if _is_silent(state, worker, stopping):
+        if _should_record(state, worker, stopping):
             expiries[worker.name] = _expiry(state, worker)
-    return kept, expiries
+    return kept, leases.limit_tasks(expiries)
 
 
 def _encode_expiries(state, expiries, release=None):
@@ -206,7 +212,7 @@
         return
     leader.roster_changed = False
     leader.roster_check_at = state.now + ROSTER_CHECK_INTERVAL_MS
-    kept, expiries = _contents(state)
+    kept, expiries = _kept_workers(state)
     addresses = {worker.name: worker.entry.address for worker in kept}
     expiring = frozenset(expiries)
     if addresses == leader.roster_saved and expiring == leader.expiries_saved:
@@ -228,9 +234,10 @@
     leader = state.leader
     leader.roster_saving = True
     expiring = frozenset(expiries)
-    # Whether or not the commit succeeds.
+    # The commit may take effect although its answer is lost.
     leader.expiring |= expiring
     leader.expiries_saved = None
+    leader.roster_saved = dict(addresses.items() & leader.roster_saved.items())
     roster = {}
     for worker in kept:
         entry = worker.entry
@@ -287,8 +294,9 @@
     leader = state.leader
     writes = []
     if leadership.is_loaded(leader):
-        kept, expiries = _contents(state, stopping=True)
+        kept, expiries = _kept_workers(state, stopping=True)
         for name in leader.roster_saved.keys() - {w.name for w in kept}:
+            # It cannot run anything, but is still in the stored roster.
             expiries[name] = leases.Expiry(state.now, frozenset())
         record = _release_record(state, expiries)
         value = _encode_expiries(state, expiries, record)
@@ -301,7 +309,6 @@
     until = state.now + leadership.lease_ms(state.cfg)
     if not leader.settled:
         # There may be runs that this leader does not know.
-        until = max(until, leader.settled_at)
         return leases.Release(leases.Expiry(until, None), None, frozenset())
     unsaved = frozenset(leader.dirty) | leader.saving
     waiting = _waiting_tasks(leader)
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -161,12 +161,14 @@
         crashes: Crashes of workers under unfinished tasks, by task key.
         crash_changes: Number of changes of `crashes`.
         crash_changes_saved: The number that a committed row holds.
+        awaits_save: Whether its tasks start only once its row is saved.
         has_cancel_row: Whether a stored row requests its cancellation.
         deadline: Time after which it is late, in Unix milliseconds.
         tickets: Advice on allowed workers by (occurrence, step).
     """
 
     __slots__ = (
+        "awaits_save",
         "start_recorded",
         "crashes",
         "crash_changes",
@@ -193,6 +195,7 @@
         self.start_recorded = False
         self.started = False
         self.final_saved = False
+        self.awaits_save = False
         self.has_cancel_row = False
         self.remaining: dict[tuple[int, int], int] = {}
         self.tasks: dict[records.TaskKey, Task] = {}
--- a/tests/scheduler/test_leases.py
+++ b/tests/scheduler/test_leases.py
@@ -1,5 +1,6 @@
 """The row that tells later leaders when the leases of workers end."""
 
+import pytest
 import scheduler_fakes as fakes
 
 from skylarklug.scheduler import events
@@ -66,14 +67,15 @@
     def test_without_a_clock_nothing_counts(self):
         """Guards against times of a store that does not tell its clock."""
         reading = leases.ClockReading(0, 990, 1_010)
-        assert leases.decode(reading, self.encode(), 4, 1) == ({}, None)
+        with pytest.raises(ValueError):
+            leases.decode(reading, self.encode(), 4, 1)
 
     def test_many_tasks_fit_into_a_row(self):
         """Guards against a row that is too large to be stored."""
         tasks = frozenset(
             fakes.first_key(number) for number in range(leases.MAX_TASKS + 1)
         )
-        expiries = {"w0": leases.Expiry(7_000, tasks)}
+        expiries = leases.limit_tasks({"w0": leases.Expiry(7_000, tasks)})
         value = leases.encode(READING, 3, expiries)
         assert value["workers"]["w0"][1] is None
 
