--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -223,7 +223,7 @@
     for number, step in enumerate(job.spec.steps):
         done = job.done.setdefault((occurrence, number), set())
         job.remaining[occurrence, number] = step.count - len(done)
-        held = _may_have_runs(leader, job, occurrence, step)
+        held = _may_have_begun(leader, job, occurrence, step)
         for index in range(step.count):
             if index in done:
                 continue
@@ -243,7 +243,7 @@
             _enqueue_step(leader, job, occurrence, number)
 
 
-def _may_have_runs(leader, job, occurrence, step):
+def _may_have_begun(leader, job, occurrence, step):
     """Returns whether a former leader may have started tasks of a step."""
     if leader.settled or not job.start_recorded:
         return False
--- a/packages/core/src/skylarklug/scheduler/leases.py
+++ b/packages/core/src/skylarklug/scheduler/leases.py
@@ -77,13 +77,13 @@
     """What a leader records when it stops as planned.
 
     Attributes:
-        leases: The end of all leases that it has granted.
+        expiry: The end of all leases that it has granted.
         unsaved_jobs: The jobs whose rows did not show all ends of their runs;
             None if any may be one.
         waiting: Tasks that run nowhere, or only on a silent worker.
     """
 
-    leases: Expiry
+    expiry: Expiry
     unsaved_jobs: frozenset[str] | None
     waiting: frozenset[records.TaskKey]
 
@@ -135,7 +135,7 @@
         workers[name] = [_store_ms(reading, expiry), tasks]
     value = {"epoch": epoch, "workers": workers}
     if release is not None:
-        value["released_until"] = _store_ms(reading, release.leases)
+        value["released_until"] = _store_ms(reading, release.expiry)
         if release.unsaved_jobs is not None:
             unsaved = sorted(release.unsaved_jobs)
             if len(unsaved) <= MAX_UNSAVED_JOBS:
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -196,7 +196,7 @@
     if task.job.awaits_save and jobs.must_wait_for_save(state.leader, task.job):
         task.wait_reason = waiting.DELAYED
         return False
-    if task.held and roster.may_still_run(state.leader, task.key):
+    if task.held and roster.may_run_unseen(state.leader, task.key):
         task.wait_reason = waiting.NOT_SETTLED
         return False
     if not crashes.may_start(state.leader, task):
--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -60,7 +60,7 @@
 # ---------------------------------------------------------------- settling
 
 
-def may_still_run(leader, key) -> bool:
+def may_run_unseen(leader, key) -> bool:
     """Returns whether a worker that has not answered may run a task."""
     for former in leader.former_workers.values():
         tasks = former.expiry.tasks
@@ -130,8 +130,8 @@
     return ends.must_keep_ends(worker)
 
 
-def _may_hold_runs(state, worker):
-    """Returns whether a worker may run something now or soon."""
+def _is_kept(state, worker):
+    """Returns whether a worker may run something, so that it stays listed."""
     leader = state.leader
     if worker.name in leader.former_workers:
         return True
@@ -182,7 +182,7 @@
     kept = []
     expiries = {}
     for worker in state.leader.workers.values():
-        if not _may_hold_runs(state, worker):
+        if not _is_kept(state, worker):
             continue
         kept.append(worker)
         if _should_record(state, worker, stopping):
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -391,7 +391,9 @@
         roster_changed: Whether a worker has answered that may need an entry.
         expiries_saved: Workers for which the store has the end of the last
             lease; None if that is not known.
-        expiring: The same or more: workers that get no lease and no start.
+        expiring: Workers that a commit has been sent for whose outcome may be
+            unknown, and those of `expiries_saved`. They get no lease and no
+            start.
         estimates: Load estimates and interference coefficients by serving
             image.
         saved_coefficients: Coefficients in the store, for a successor.
--- a/tests/scheduler/test_leases.py
+++ b/tests/scheduler/test_leases.py
@@ -59,7 +59,7 @@
         )
         value = self.encode(release=release)
         found = leases.decode(READING, value, 4, 1)[1]
-        assert found.leases.at >= 7_600
+        assert found.expiry.at >= 7_600
         assert found.unsaved_jobs == {"a"}
         assert found.waiting == {KEY}
         assert leases.decode(READING, value, 5, 1)[1] is None
