--- a/packages/core/src/skylarklug/scheduler/leases.py
+++ b/packages/core/src/skylarklug/scheduler/leases.py
@@ -102,13 +102,13 @@
 
 
 def latest_store_ms(reading: ClockReading, at: int) -> int:
-    """Returns what the store's clock shows at most when ours shows `at`."""
+    """Returns the latest time of the store's clock at our time `at`."""
     elapsed = max(0, at - reading.sent_at)
     return reading.store_ms + math.ceil(elapsed * (1 + CLOCK_DRIFT))
 
 
 def reached_at(reading: ClockReading, store_ms: int) -> int:
-    """Returns when, on our clock, the store's shows `store_ms` or more."""
+    """Returns our time from which on the store's clock is past `store_ms`."""
     remaining = max(0, store_ms - reading.store_ms)
     return reading.answered_at + math.ceil(remaining * (1 + CLOCK_DRIFT))
 
