--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -323,12 +323,12 @@
 
 def _waiting_tasks(leader):
     """Returns the tasks without a run, those that run until cancelled first."""
-    long_running = []
+    until_cancelled = []
     others = []
     for group in leader.ready.values():
         for task in group.values():
             if task.step.runs_until_cancelled:
-                long_running.append(task.key)
+                until_cancelled.append(task.key)
             else:
                 others.append(task.key)
-    return long_running + others
+    return until_cancelled + others
