--- a/review/1/case.py
+++ b/review/1/case.py
@@ -52,11 +52,11 @@
 
     def on_run(worker, run):
         if run.task in done:
-            again.append((run.task, run.attempt, worker.name, done[run.task]))
+            again.append((run.task, run.attempt, worker.name))
 
     def on_end(worker, run, how):
         if how == "done":
-            done.setdefault(run.task, f"run {run.attempt} on {worker.name}")
+            done.setdefault(run.task, (worker, worker.end_count))
 
     for worker in case.workers:
         worker.on_run = on_run
@@ -87,19 +87,20 @@
         return await client.state(JOB) == "done"
 
     await case.wait_until(is_done, "the job is done", LIMIT_S)
-    noted = {}
-    for worker in case.workers:
-        noted[worker.name] = worker.last_seen
     begun = sum(worker.begun for worker in case.workers)
     record.say(f"the job is done after {begun} starts of {TASKS} tasks")
-    record.say(f"ends taken note of: {sum(noted.values())}")
-    tasks = {task for task, *_ in again}
-    record.say(f"{len(tasks)} tasks started again after they had ended as done")
-    return [
-        f"TWICE: {task} attempt={attempt} began on {worker}, although {run} "
-        "had ended as done"
-        for task, attempt, worker, run in again
-    ]
+    broken = []
+    for task, attempt, name in again:
+        worker, number = done[task]
+        if worker.has_lapsed or number > worker.last_seen:
+            # The end was not taken note of.
+            continue
+        broken.append(
+            f"TWICE: {task} attempt={attempt} began on {name} after end "
+            f"{number} on {worker.name}, done; {worker.last_seen} are noted"
+        )
+    record.say(f"{len(broken)} starts after an end as done that was noted")
+    return broken
 
 
 if __name__ == "__main__":
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -34,6 +34,10 @@
 
     Attributes:
         hangs: Takes requests, does nothing for them and does not answer.
+        begun: Number of runs that have begun here.
+        end_count: Number of ends of this incarnation.
+        last_seen: The ends up to this number have been taken note of.
+        has_lapsed: Whether the lease of this incarnation has ever lapsed.
         on_run: Called with (worker, run) when a run has begun, and with
             `on_end(worker, run, how)` when it has ended.
     """
@@ -64,10 +68,11 @@
         self.runs = {}
         self._seq = 0
         self._ends = []
-        self._end_count = 0
+        self.end_count = 0
         self._closed = {}
         self._lease_until = 0
         self.last_seen = 0
+        self.has_lapsed = False
 
     def clock_ms(self):
         """Returns the worker's steady clock."""
@@ -137,14 +142,15 @@
             lapsed = self.clock_ms() > self._lease_until
             for run in list(self.runs.values()):
                 if lapsed:
+                    self.has_lapsed = True
                     self._end(run, "lapsed")
                 elif run.ends_at is not None and now >= run.ends_at:
                     self._end(run, run.how)
 
     def _end(self, run, how):
         del self.runs[run.task]
-        self._end_count += 1
-        self._ends.append([self._end_count, run.task, run.attempt, how, ""])
+        self.end_count += 1
+        self._ends.append([self.end_count, run.task, run.attempt, how, ""])
         self._close_attempt(run.task, run.attempt)
         self._note_end(run, how)
 
