--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,6 +4,8 @@
 import json
 import os
 import pathlib
+import random
+import shutil
 import signal
 import socket
 import tempfile
@@ -18,6 +20,7 @@
 QUEUE = "reseal-batch"
 SERVICE = "certvault"
 DEADLINE_MS = 3_000
+PORT_RANGE = (12_000, 30_000)
 # Bounds of the small deployments.
 BOUNDS = {
     "seed_lag_s": 3,
@@ -73,6 +76,9 @@
 }
 
 
+_used_ports = set()
+
+
 class CannotRun(Exception):
     """The case could not be played."""
 
@@ -102,10 +108,22 @@
 
 
 def free_port() -> int:
-    """Returns a free port on the loopback address."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Returns a free port on the loopback address, each only once.
+
+    It is outside the range from which the system takes the ports of outgoing
+    connections, which could take it before a node listens on it.
+    """
+    while True:
+        port = random.randrange(*PORT_RANGE)
+        if port in _used_ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _used_ports.add(port)
+        return port
 
 
 def has_trouble() -> bool:
@@ -302,12 +320,13 @@
         )
 
     async def end(self):
-        """Ends all processes and stand-ins of the case."""
+        """Ends all processes and stand-ins; removes the temporary folder."""
         for node in self.nodes:
             await node.kill()
         for worker in self.workers:
             if worker.up:
                 await worker.crash()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run(folder, scenario) -> int:
