--- a/review/5/case.py
+++ b/review/5/case.py
@@ -70,6 +70,7 @@
     await case.wait_ready(store)
     await asyncio.sleep(1.0)
     client = deployment.Client(case.nodes, record)
+    # With TROUBLE=0 no worker loses power.
     if deployment.has_trouble():
         FragileWorker.crashes_left = CRASHES
     step = {"count": 1, "cpu": STEP["cpu"], "mem_mb": 10}
@@ -84,6 +85,8 @@
     if deployment.has_trouble():
         record.say(f"{crashed} workers lost power")
     record.say(f"state {state}; runs begun {len(begun)}; ends {ends}")
+    if state not in ("done", "failed"):
+        raise deployment.CannotRun(f"the job is {state} after {LIMIT_S} s")
     if state == "failed" and ends.count("failed") < 2:
         return [
             f"LOST: {JOB} is shown as failed; {len(begun)} runs have begun, "
