Give a task up only for crashes that are proven under confirmed runs

Cause: each worker that was lost after a start order counted as one that the task had crashed, also if it had never confirmed the start, and four workers counted if they were only silent. Neither shows that a run began, or that a worker crashed.

Change: only the end of a worker's process under a run that the worker had confirmed counts. All other losses delay the next start of the task: not after the first, then by 250 ms, doubled each time, so that a task whose workers never live to confirm it does little harm and is never called failed. The end of a worker is now also proven by another one that answers at its address; formerly the limit of four silent workers covered what a successor did not see.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -8,6 +8,11 @@
 of that task is a trial: nothing else starts on its worker until the run has
 outlasted the time in which it could have been the cause. A task whose runs keep
 crashing workers is given up.
+
+Only the end of a worker's process under a run that the worker had confirmed is
+a reason to give a task up. A worker that is silent may run on, and one that
+never confirmed a start may have ended before it began the task. Such losses
+delay the next start of the task, for longer each time.
 """
 
 from skylarklug.scheduler import records
@@ -24,11 +29,13 @@
 MAX_TRIAL_CRASHES = 2
 # A task is given up after this many proven crashes within `MAX_CRASH_AGE_MS`.
 MAX_CRASHES = 3
-# The same if some of the workers are only silent. The platform allows two
-# further starts after three workers have crashed.
-MAX_UNPROVEN_CRASHES = 4
-# A task is given up after this many crashes within `FORGET_CRASHES_MS`.
+# A task is given up after this many proven crashes within `FORGET_CRASHES_MS`.
+# The platform allows two further starts after three workers have crashed.
 MAX_LATE_CRASHES = 5
+# Delay of the next start of a task after two losses that do not prove that it
+# has crashed a worker. Each further one doubles the delay.
+UNCERTAIN_RETRY_MS = 250
+MAX_UNCERTAIN_RETRY_MS = 60_000
 # If more than this share of the workers is silent at once, the links of the
 # leader are the likely cause, and crashes are recorded only once runs are lost.
 MAX_SILENT_SHARE = 0.25
@@ -43,24 +50,35 @@
     return any(c.survived_ms < TRIAL_MS for c in task.crashes.values())
 
 
+def _is_proof(crash) -> bool:
+    """Returns whether a worker has certainly crashed under a run."""
+    return crash.proven and crash.survived_ms >= 0
+
+
 def is_exhausted(task) -> bool:
     """Returns whether a task has crashed too many workers to start again."""
-    if len(task.crashes) >= MAX_LATE_CRASHES:
+    proofs = [crash for crash in task.crashes.values() if _is_proof(crash)]
+    if len(proofs) >= MAX_LATE_CRASHES:
         return True
-    recent = [
-        crash
-        for crash in task.crashes.values()
-        if crash.survived_ms < MAX_CRASH_AGE_MS
-    ]
-    if len(recent) >= MAX_UNPROVEN_CRASHES:
+    recent = [c for c in proofs if c.survived_ms < MAX_CRASH_AGE_MS]
+    if len(recent) >= MAX_CRASHES:
         return True
-    proven = [crash for crash in recent if crash.proven]
-    if len(proven) >= MAX_CRASHES:
-        return True
-    prompt = [c for c in proven if 0 <= c.survived_ms < TRIAL_MS]
+    prompt = [crash for crash in recent if crash.survived_ms < TRIAL_MS]
     return len(prompt) >= MAX_TRIAL_CRASHES
 
 
+def restart_delay_ms(task) -> int:
+    """Returns how long a task that was lost with its worker has to wait."""
+    uncertain = 0
+    for crash in task.crashes.values():
+        if not _is_proof(crash):
+            uncertain += 1
+    if uncertain < 2:
+        return 0
+    doublings = min(uncertain - 2, 16)
+    return min(MAX_UNCERTAIN_RETRY_MS, UNCERTAIN_RETRY_MS << doublings)
+
+
 def describe(task) -> str:
     """Returns which workers the task has crashed, for the log."""
     names = sorted({crash.worker for crash in task.crashes.values()})
@@ -149,6 +167,34 @@
     return changed
 
 
+def prove_at_address(leader, worker) -> list:
+    """Marks the crashes of workers that had the address of this one as proven.
+
+    Called when a worker first answers: the former worker at its address has
+    ended.
+
+    Returns:
+        The jobs whose rows must be saved.
+    """
+    changed = []
+    for name, tasks in list(leader.unproven_crashes.items()):
+        if name == worker.name:
+            continue
+        for task in tasks.values():
+            if task.key not in task.job.tasks:
+                continue
+            for attempt, crash in task.crashes.items():
+                if crash.worker != name or crash.proven:
+                    continue
+                if crash.address != worker.entry.address:
+                    continue
+                if crash.incarnation >= worker.incarnation:
+                    continue
+                task.crashes[attempt] = crash._replace(proven=True)
+                changed.append(_changed_job(task))
+    return changed
+
+
 def _pop_unproven(leader, worker):
     """Returns (task, attempt, crash) of a worker's crashes, watched no more."""
     found = []
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -178,18 +178,21 @@
 
 def _mark_run_lost(state, effects, worker, task, reason, since=None):
     """Requeues a task whose run is gone without a report of its end."""
+    delay_ms = crashes.restart_delay_ms(task)
     fields = {
         "task": str(task.key),
         "attempt": task.attempt,
         "worker": worker.name,
         "reason": reason,
         "checkpoint": bool(task.checkpoint),
+        "confirmed": task.running_since > 0,
         "survived_ms": task.survived_ms(),
         "crashes": len(task.crashes),
+        "delay_ms": delay_ms,
     }
     effects.append(fx.Log("warning", "run-lost", fields))
     effects.append(fx.Measure("skylarklug.runs.lost", 1, {"reason": reason}))
-    orders.requeue(state, effects, task, worker, since=since)
+    orders.requeue(state, effects, task, worker, delay_ms, since)
     gangs.stop_other_members(state, effects, task, "a member was lost")
     if crashes.is_exhausted(task):
         jobs.fail_job(state, effects, task.job, crashes.describe(task))
@@ -257,6 +260,7 @@
         return
     first_answer = not worker.fenced or worker.failed_polls
     if not worker.fenced:
+        _save_crashes(state, effects, crashes.prove_at_address(leader, worker))
         worker.reached_at = state.now
         leader.worker_reached_at = state.now
         # Nothing starts there before a commit, which others may share.
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -510,6 +510,8 @@
         self.specs = {}
         # Tasks that crash each worker that starts them.
         self.fatal_tasks = set()
+        # Number of starts to come whose worker loses power before it begins.
+        self.power_losses = 0
         # Whether a crashed worker is back under its name, or under a new one.
         self.names_return = False
         # Workers that are down, whose hosts refuse connections.
@@ -846,6 +848,17 @@
 
         self.after(CRASH_DOWN_MS, return_worker)
 
+    def lose_power(self, worker, down_ms=CRASH_DOWN_MS):
+        """Takes a worker down without a word; it is back under its name."""
+        worker.crash(worker.incarnation + 1)
+        self.silent_workers.add(worker.name)
+
+        def return_worker():
+            self.silent_workers.discard(worker.name)
+            self.publish_workers()
+
+        self.after(down_ms, return_worker)
+
     def cut_off(self, worker):
         """Cuts a worker off from all nodes."""
         for node in self.nodes:
@@ -923,6 +936,11 @@
                 if worker.late_calls_only_late:
                     answer(effect.timeout_ms, "unknown", "silent")
                     return
+            if op == "start" and self.power_losses:
+                self.power_losses -= 1
+                self.lose_power(worker)
+                answer(effect.timeout_ms, "unknown", "silent")
+                return
             if op == "start" and worker.lost_starts:
                 worker.lost_starts -= 1
                 answer(effect.timeout_ms, "unknown", "silent")
