Take no run for lost whose end may not fit into a worker's answer

Cause: a worker lists its oldest 500 ends in an answer. While the store is away no end is acknowledged, so at 120 ends a second the list is full after four seconds. A run whose end came later was neither listed as running nor as ended, and after two such answers the leader took it for lost and started its task again. The next leader made the same inference from the first answer of a worker: it settled, and started the tasks whose ends had not been listed.

Change: the adapter says when a list of ends has reached its greatest length. Then a run that the answer does not list is not lost, a restart counts as unresolved, and a new leader waits for the rest before it settles, as long as the worker's lease lasts. The roster keeps such a worker among those with unknown work. Each commit lets the worker forget a page and list the next one.

--- a/packages/core/src/skylarklug/scheduler/ends.py
+++ b/packages/core/src/skylarklug/scheduler/ends.py
@@ -29,6 +29,7 @@
         if unsaved:
             worker.unsaved_ends[number] = unsaved
     worker.has_unreadable_end = event.unreadable_end > 0
+    worker.has_more_ends = event.has_more_ends
     for number in sorted(worker.later_ends):
         if worker.has_unreadable_end and number >= event.unreadable_end:
             break
--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -153,7 +153,9 @@
 
     `has_unreadable_run` says that it also lists runs that could not be read.
     Ends from the number `unreadable_end` on, unless 0, may be missing from
-    `ended`, so that the worker must not forget them.
+    `ended`, so that the worker must not forget them. `has_more_ends` says that
+    the list of ends has reached its greatest length, so that later ends may be
+    missing too.
     """
 
     at: int
@@ -165,6 +167,7 @@
     ended: tuple[records.EndReport, ...]
     has_unreadable_run: bool = False
     unreadable_end: int = 0
+    has_more_ends: bool = False
 
 
 class OrderAnswered(NamedTuple):
--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -82,6 +82,8 @@
         # Former leaders sent no order to another address than that in the
         # roster. The list of workers may be older.
         is_gone = worker.replaced and worker.entry.address == former.address
+        if worker.fenced and _may_list_more(state, worker):
+            continue
         if not worker.fenced and not is_gone:
             # A commit sent after the lease had ended proves that no other
             # leader has renewed it.
@@ -110,6 +112,17 @@
     effects.append(fx.Log("info", "settled", fields))
 
 
+def _may_list_more(state, worker):
+    """Returns whether a worker has ends that it has not listed yet.
+
+    The tasks of former leaders whose ends are missing seem not to have begun.
+    """
+    if not worker.has_more_ends:
+        return False
+    # It lists no more if it has crashed.
+    return state.leader.confirmed_at < lease_ends_at(state, worker)
+
+
 # ----------------------------------------------------------------- contents
 
 
@@ -125,7 +138,7 @@
     A task whose end is not saved counts: a new leader would start it again
     unless the worker reports the end.
     """
-    if worker.unwanted_runs or worker.has_unknown_run:
+    if worker.unwanted_runs or worker.has_unknown_run or worker.has_more_ends:
         return True
     return ends.must_keep_ends(worker)
 
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -235,6 +235,7 @@
         unsaved_ends: Job by number of the ends not committed yet.
         has_unreadable_end: Whether it last listed an end that could not be
             read.
+        has_more_ends: Whether it had more ends than it could list last.
         later_ends: Numbers of the ends handled although an earlier one could
             not be read.
         lease_granted_at: When the latest order that renews its lease was
@@ -283,6 +284,7 @@
         "change_sequence",
         "runs",
         "later_ends",
+        "has_more_ends",
         "has_unreadable_end",
         "unsaved_ends",
         "unwanted_runs",
@@ -311,6 +313,7 @@
         self.last_end_number = 0
         self.unsaved_ends: dict[int, str] = {}
         self.has_unreadable_end = False
+        self.has_more_ends = False
         self.later_ends: set[int] = set()
         self.lease_granted_at = 0
         self.answered_at = 0
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -127,6 +127,7 @@
     worker.last_end_number = 0
     worker.unsaved_ends.clear()
     worker.has_unreadable_end = False
+    worker.has_more_ends = False
     worker.later_ends.clear()
     worker.poll_due_at = 0
 
@@ -240,7 +241,7 @@
     if event.incarnation > worker.incarnation:
         _on_restart(state, effects, worker, event.incarnation)
     worker.announced_at = 0
-    if _is_incomplete(event) and not worker.fenced and not leader.settled:
+    if _is_unreadable(event) and not worker.fenced and not leader.settled:
         # Any run of a former leader may be one that could not be read. It gets
         # no lease from this leader, and settling waits for its end.
         _record_failed_poll(
@@ -292,12 +293,18 @@
             worker.poll_due_at = state.now
 
 
+def _is_unreadable(event):
+    """Returns whether the answer has rows that could not be read."""
+    return event.has_unreadable_run or event.unreadable_end > 0
+
+
 def _is_incomplete(event):
-    """Returns whether the answer has rows that could not be read.
+    """Returns whether a run that the answer does not list may be known to it.
 
-    A run that it does not list may be one of them, and run or have ended.
+    It may be in a row that could not be read, and run or have ended, or among
+    the ends for which the list had no room.
     """
-    return event.has_unreadable_run or event.unreadable_end > 0
+    return _is_unreadable(event) or event.has_more_ends
 
 
 def _reconcile(state, effects, worker, event):
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -211,6 +211,17 @@
             assert report.unreadable_end == unreadable_end
             assert problems == len(rows) - len(expected)
 
+    @pytest.mark.parametrize(("count", "more"), [(499, False), (500, True)])
+    def test_longest_list_of_ends_may_lack_later_ones(self, count, more):
+        """Guards against an end that counts as missing because the list, of at
+        most 500 ends, had no room for it."""
+        rows = []
+        for number in range(count):
+            rows.append([number + 1, f"a.0.0.{number}", 1, "done", ""])
+        report, problems = report_of({**POLL, "ended_runs": rows})
+        assert len(report.ended) == count
+        assert (report.has_more_ends, problems) == (more, 0)
+
     def test_number_beyond_the_next_one_is_unreadable(self):
         """Guards against one odd number that hides all later ends."""
         rows = [
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -350,6 +350,7 @@
         self.expire()
         running = []
         hidden = self.unreadable_tasks
+        ends = self.ends[: self.sim.max_listed_ends]
         for key, (attempt, _, checkpoint) in self.runs.items():
             if key in hidden:
                 continue
@@ -364,9 +365,10 @@
             self.incarnation,
             self.clock.now(),
             tuple(running),
-            tuple(end for end in self.ends if end.key not in hidden),
+            tuple(end for end in ends if end.key not in hidden),
             any(key in hidden for key in self.runs),
-            min((e.number for e in self.ends if e.key in hidden), default=0),
+            min((end.number for end in ends if end.key in hidden), default=0),
+            len(ends) == self.sim.max_listed_ends,
         )
 
     def start(self, effect):
@@ -510,6 +512,8 @@
         self.specs = {}
         # Tasks that crash each worker that starts them.
         self.fatal_tasks = set()
+        # Most ends in one answer to a poll.
+        self.max_listed_ends = 500
         # Number of starts to come whose worker loses power before it begins.
         self.power_losses = 0
         # Whether a crashed worker is back under its name, or under a new one.
--- a/tests/scheduler/test_random_faults.py
+++ b/tests/scheduler/test_random_faults.py
@@ -270,9 +270,10 @@
 class Play:
     """One random day: jobs and faults, then a calm time."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, max_listed_ends=500):
         self.rng = random.Random(seed)
         self.sim = fakes.Sim(nodes=NODES, workers=WORKERS)
+        self.sim.max_listed_ends = max_listed_ends
         # The workers of half of the services guard their capacity.
         self.enforces_capacity = bool(seed % 2)
         for worker in self.sim.workers.values():
@@ -384,3 +385,11 @@
         play = Play(seed)
         problems = play.run()
         assert not problems, (problems, play.faults.log)
+
+    @pytest.mark.parametrize("seed", fakes.random_seeds((1, 2)))
+    def test_short_lists_of_ends_keep_the_invariants(self, seed):
+        """Guards against wrong conclusions from answers that list only the
+        oldest ends, under a combination of faults."""
+        play = Play(seed, max_listed_ends=2)
+        problems = play.run()
+        assert not problems, (problems, play.faults.log)
