Let orders wait for a connection to their worker

Cause: a node opens at most 48 connections to a worker, and a request for which none was free failed at once.

Change: a request may wait for a connection for a part of its time. Released connections go to the request that has waited the longest; a lost one lets the next request open another. The permission to send an order is checked after the wait.

--- a/packages/node/src/skylarklugd/client.py
+++ b/packages/node/src/skylarklugd/client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 from typing import NamedTuple
 
 import httptools
@@ -172,6 +173,8 @@
         self._connect_timeout_ms = connect_timeout_ms
         self._idle: dict[str, list[_Connection]] = {}
         self._open: dict[str, int] = {}
+        # Requests that wait for a connection, oldest first, by address.
+        self._waiting: dict[str, collections.deque[asyncio.Future]] = {}
         self._sweep = None
 
     async def call(
@@ -183,6 +186,7 @@
         timeout_ms,
         headers=None,
         is_valid=None,
+        queue_ms=0,
     ) -> Response:
         """Sends one request and returns its response, whatever the status.
 
@@ -195,6 +199,8 @@
             headers: Additional request headers by name.
             is_valid: Called right before the request is sent, which may be
                 later than the call; nothing is sent unless it returns true.
+            queue_ms: How long the request may wait for a connection while all
+                of them are in use; a part of `timeout_ms`.
 
         Raises:
             ExchangeFailed: No complete response was received.
@@ -203,8 +209,11 @@
         loop = asyncio.get_running_loop()
         expires_at = loop.time() + timeout_ms / 1000
         conn = self._take_idle(address)
+        if conn is None and queue_ms:
+            conn = await self._wait_for_connection(address, queue_ms)
         if conn is None:
-            conn = await self._connect(address, timeout_ms)
+            remaining_ms = (expires_at - loop.time()) * 1000
+            conn = await self._connect(address, remaining_ms)
         if is_valid is not None and not is_valid():
             self._release(address, conn)
             raise upstream.ExchangeFailed(
@@ -250,8 +259,56 @@
                 return conn
         return None
 
+    async def _wait_for_connection(self, address, queue_ms):
+        """Returns a released connection, or None if one may be opened.
+
+        Also returns None when the time is up; opening one then fails.
+        """
+        loop = asyncio.get_running_loop()
+        expires_at = loop.time() + queue_ms / 1000
+        while self._open.get(address, 0) >= self._limit:
+            if loop.time() >= expires_at:
+                return None
+            fut = loop.create_future()
+            waiting = self._waiting.setdefault(address, collections.deque())
+            waiting.append(fut)
+            timer = loop.call_at(expires_at, _finish_wait, fut, None)
+            try:
+                conn = await fut
+            except asyncio.CancelledError:
+                if fut.done() and not fut.cancelled():
+                    self._pass_on(address, fut.result())
+                raise
+            finally:
+                timer.cancel()
+            if conn is not None and conn.is_open:
+                return conn
+        return None
+
+    def _pass_on(self, address, conn):
+        """Lets the next request use a connection, or open one if None."""
+        if conn is None:
+            self._wake_next(address, None)
+        else:
+            self._release(address, conn)
+
+    def _wake_next(self, address, conn) -> bool:
+        """Gives a connection to the request that has waited the longest.
+
+        If the connection is None, the request opens one. Returns whether a
+        request has waited.
+        """
+        waiting = self._waiting.get(address)
+        while waiting:
+            fut = waiting.popleft()
+            if not waiting:
+                self._waiting.pop(address, None)
+            if _finish_wait(fut, conn):
+                return True
+        return False
+
     def _release(self, address, conn):
-        if not conn.is_open:
+        if not conn.is_open or self._wake_next(address, conn):
             return
         loop = asyncio.get_running_loop()
         conn.idle_since = loop.time()
@@ -327,6 +384,15 @@
             self._open[address] = count
         else:
             del self._open[address]
+        self._wake_next(address, None)
+
+
+def _finish_wait(fut, conn) -> bool:
+    """Ends a wait for a connection; returns False if it had ended."""
+    if fut.done():
+        return False
+    fut.set_result(conn)
+    return True
 
 
 def _format_request(address, method, target, body, headers) -> bytes:
--- a/tests/node/test_client.py
+++ b/tests/node/test_client.py
@@ -129,6 +129,114 @@
         assert exchange([b""], scenario) == (b"ok", 2)
 
 
+class TestWaitForConnection:
+    """Requests beyond the limit of connections, as to a worker of a gang."""
+
+    def test_requests_beyond_the_limit_wait_for_a_connection(self):
+        """Guards against orders that fail because others are under way."""
+
+        async def scenario(http, peer):
+            calls = []
+            for _ in range(30):
+                calls.append(
+                    http.call(
+                        peer.address, "GET", "/", None, 5_000, queue_ms=4_000
+                    )
+                )
+            responses = await asyncio.gather(*calls)
+            assert [r.status for r in responses] == [200] * 30
+            return peer.connections
+
+        assert exchange([], scenario) == 2
+
+    def test_connection_that_is_lost_lets_the_next_request_open_one(self):
+        """Guards against requests that wait for a connection that is closed."""
+
+        async def scenario(http, peer):
+            calls = []
+            for _ in range(4):
+                calls.append(
+                    http.call(
+                        peer.address, "GET", "/", None, 5_000, queue_ms=4_000
+                    )
+                )
+            results = await asyncio.gather(*calls, return_exceptions=True)
+            failed = [r for r in results if isinstance(r, Exception)]
+            assert [exc.sent for exc in failed] == [True, True]
+            return peer.connections, http.open_connections(peer.address)
+
+        assert exchange([None, None], scenario) == (4, 2)
+
+    def test_wait_ends_and_nothing_is_sent(self):
+        """Guards against a request that is sent, or said to have been, after
+        its wait for a connection."""
+
+        async def scenario(http, peer):
+            calls = [get(http, peer, 1_000) for _ in range(2)]
+            busy = asyncio.gather(*calls, return_exceptions=True)
+            await asyncio.sleep(0.05)
+            with pytest.raises(upstream.ExchangeFailed) as caught:
+                await http.call(
+                    peer.address, "GET", "/", None, 600, queue_ms=100
+                )
+            assert not caught.value.sent
+            await busy
+            return len(peer.requests)
+
+        assert exchange([b""] * 2, scenario) == 2
+
+    def test_request_that_is_not_valid_any_more_is_not_sent(self):
+        """Guards against an order that is sent after its wait although the
+        permission to send it has ended."""
+
+        async def scenario(http, peer):
+            peer.replies = [b"", OK, OK, OK]
+            calls = [get(http, peer, 300), get(http, peer, 300)]
+            busy = asyncio.gather(*calls, return_exceptions=True)
+            await asyncio.sleep(0.05)
+            late = http.call(
+                peer.address,
+                "GET",
+                "/late",
+                None,
+                2_000,
+                is_valid=lambda: False,
+                queue_ms=1_000,
+            )
+            with pytest.raises(upstream.ExchangeFailed) as caught:
+                await late
+            assert not caught.value.sent
+            await busy
+            assert (await get(http, peer)).status == 200
+            return [r for r in peer.requests if b"/late" in r]
+
+        assert exchange([], scenario) == []
+
+    def test_cancelled_wait_passes_the_connection_on(self):
+        """Guards against a connection that nobody uses, and nobody releases,
+        because the request that it was given to was cancelled."""
+
+        async def scenario(http, peer):
+            peer.replies = [b"", b""]
+            calls = [get(http, peer, 200), get(http, peer, 200)]
+            busy = asyncio.gather(*calls, return_exceptions=True)
+            await asyncio.sleep(0.05)
+            waits = []
+            for _ in range(6):
+                call = http.call(
+                    peer.address, "GET", "/", None, 2_000, queue_ms=1_500
+                )
+                waits.append(asyncio.ensure_future(call))
+            await asyncio.sleep(0.05)
+            for call in waits[::2]:
+                call.cancel()
+            await busy
+            results = await asyncio.gather(*waits, return_exceptions=True)
+            return [getattr(result, "status", 0) for result in results]
+
+        assert exchange([], scenario) == [0, 200] * 3
+
+
 class TestFailures:
     def test_refused_connection_sends_nothing(self):
         """Guards against "unknown" where the peer cannot have the request."""
