Stop a gang at once if one of its members does not start

Callers saw runs of gangs end as alone, and their jobs wait (GANG), whenever a worker did not take the start of one member.

Cause: the member was queued again, or its start was repeated for 2.8 s, while the others, which had begun, waited for it for three seconds. And a gang was ordered in one pass whatever the limit of starts in flight, so that a leader could have hundreds of unanswered orders, which it then repeated.

Change: once a member is refused or rejected, or its start is withdrawn, the others are stopped, which the platform does not count as waiting alone, and the gang starts again as a whole. A member is ordered three times, not four, so that the stop comes in time. The starts of a gang beyond the limit are sent as earlier ones are answered, before any other start; one that has not been sent is dropped with its gang.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -151,6 +151,8 @@
     for task in worker.runs.values():
         if task.job.state in records.FINAL_STATES:
             continue
+        if task.key in leader.unsent_starts:
+            continue
         if task.attempt in task.crashes:
             if lost and _update_record(leader, task):
                 changed.append(_changed_job(task))
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -1,9 +1,16 @@
-"""Orders to workers (start, stop and pace) and their answers."""
+"""Orders to workers (start, stop and pace) and their answers.
+
+Load pattern: a gang has more members than orders may be in flight. A member
+that has begun waits for the others for some seconds only. So the starts of a
+gang go out before all others, and once a member does not start, the others are
+stopped, and the gang starts again as a whole.
+"""
 
 from skylarklug.scheduler import capacity
 from skylarklug.scheduler import crashes
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
+from skylarklug.scheduler import gangs
 from skylarklug.scheduler import interference
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
@@ -20,6 +27,9 @@
 ORDER_RETRY_MS = 300
 # A start that was ordered this often without an answer is withdrawn.
 MAX_START_ORDERS = 4
+# The same for a member of a gang. The others wait for it, for three seconds or
+# more, and have to be stopped before.
+MAX_GANG_START_ORDERS = 3
 # Attempt numbers of each epoch are in a range of this size. A leader that has
 # not seen the attempts of its predecessor still uses higher numbers.
 ATTEMPTS_PER_EPOCH = 1_000
@@ -88,7 +98,11 @@
 
 
 def may_start_more(leader) -> bool:
-    """Returns whether another start order may be sent now."""
+    """Returns whether another task may be started now."""
+    return not leader.unsent_starts and _has_free_slot(leader)
+
+
+def _has_free_slot(leader):
     return leader.starts_in_flight < MAX_STARTS_IN_FLIGHT
 
 
@@ -98,7 +112,7 @@
 
 
 def start(state, effects, task, worker, attempt, ticket=""):
-    """Orders a worker to start a task."""
+    """Orders a worker to start a task, as soon as an order may be sent."""
     leader = state.leader
     task.status = state_lib.STARTING
     task.attempt = attempt
@@ -120,7 +134,10 @@
     interference.record_run_change(state, worker, task)
     leader.unconfirmed[task.key] = task
     crashes.begin_trial(leader, task)
-    _send_start(state, effects, task, worker)
+    if may_start_more(leader):
+        _send_start(state, effects, task, worker)
+    else:
+        leader.unsent_starts[task.key] = task
     fields = {
         "task": str(task.key),
         "attempt": attempt,
@@ -166,6 +183,9 @@
     leader = state.leader
     if task.status == state_lib.STOPPING:
         return
+    if task.key in leader.unsent_starts:
+        requeue(state, effects, task, leader.workers[task.worker])
+        return
     task.status = state_lib.STOPPING
     task.confirmed_at = 0
     task.order_count = 0
@@ -259,6 +279,7 @@
     free_resources(worker, task)
     interference.record_run_change(state, worker, task)
     leader.unconfirmed.pop(task.key, None)
+    leader.unsent_starts.pop(task.key, None)
     leader.placement_requested = True
     worker.record_change(leader)
     job = task.job
@@ -285,6 +306,7 @@
     if event.op == "start":
         # Orders of an earlier leadership of this node are answered too.
         leader.starts_in_flight = max(0, leader.starts_in_flight - 1)
+        _send_waiting_starts(state, effects)
     if event.result == "rejected" and event.reason == "fence":
         suspend_orders(state, effects, event.worker)
         return
@@ -356,6 +378,7 @@
         if task.order_count == 1:
             worker.backoff_until = state.now + REFUSED_BACKOFF_MS
             requeue(state, effects, task, worker, PLACEMENT_RETRY_MS)
+            gangs.stop_other_members(state, effects, task, "start refused")
         return
     if event.result == "rejected":
         _on_rejected(state, event, effects, task, worker)
@@ -377,12 +400,14 @@
         task.confirmed_at = state.now
         state.leader.unconfirmed.pop(task.key, None)
         return
+    reason = f"start rejected: {event.reason}"
     if task.order_count > 1:
         # An earlier order of this attempt may still be executed. After a stop
         # the worker rejects the attempt.
-        stop(state, effects, task, f"start rejected: {event.reason}")
-        return
-    requeue(state, effects, task, worker, PLACEMENT_RETRY_MS)
+        stop(state, effects, task, reason)
+    else:
+        requeue(state, effects, task, worker, PLACEMENT_RETRY_MS)
+    gangs.stop_other_members(state, effects, task, reason)
 
 
 def mark_started(leader, job):
@@ -412,7 +437,10 @@
     if not leadership.may_send_orders(state):
         return
     leader = state.leader
+    _send_waiting_starts(state, effects)
     for task in list(leader.unconfirmed.values()):
+        if not task.worker or task.key in leader.unsent_starts:
+            continue
         if state.now - task.ordered_at < ORDER_TIMEOUT_MS + ORDER_RETRY_MS:
             continue
         worker = leader.workers[task.worker]
@@ -424,8 +452,35 @@
             _send_stop(state, effects, task)
 
 
+def _send_waiting_starts(state, effects):
+    """Sends starts that have waited for others to be answered."""
+    leader = state.leader
+    if not leader.unsent_starts or not leadership.may_send_orders(state):
+        return
+    for task in list(leader.unsent_starts.values()):
+        if not _has_free_slot(leader):
+            return
+        if task.key not in leader.unsent_starts:
+            # Its gang has been stopped meanwhile.
+            continue
+        worker = leader.workers[task.worker]
+        if worker.failed_polls or worker.name in leader.expiring:
+            requeue(state, effects, task, worker)
+            reason = "the worker of a member may be lost"
+            gangs.stop_other_members(state, effects, task, reason)
+            continue
+        del leader.unsent_starts[task.key]
+        _send_start(state, effects, task, worker)
+
+
+def _withdraw_start(state, effects, task, reason):
+    """Stops a task that has not been confirmed, and the rest of its gang."""
+    stop(state, effects, task, reason)
+    gangs.stop_other_members(state, effects, task, reason)
+
+
 def _repeat_start(state, effects, task, worker):
-    if not may_start_more(state.leader):
+    if not _has_free_slot(state.leader):
         return
     if worker.name in state.leader.expiring:
         return
@@ -435,11 +490,12 @@
     if not enforced and capacity.is_exceeded(worker):
         # An earlier order may have been executed. After a stop the worker
         # rejects the attempt.
-        stop(state, effects, task, "the worker has shrunk")
+        _withdraw_start(state, effects, task, "the worker has shrunk")
         return
-    if task.order_count >= MAX_START_ORDERS:
+    limit = MAX_GANG_START_ORDERS if task.step.gang else MAX_START_ORDERS
+    if task.order_count >= limit:
         task.avoided_workers.add(worker.name)
-        stop(state, effects, task, "no answer to its start")
+        _withdraw_start(state, effects, task, "no answer to its start")
         return
     _send_start(state, effects, task, worker)
 
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -405,6 +405,8 @@
         successor_capacity: Capacity of that VM, in cores.
         worker_reached_at: When a worker last answered for the first time.
         starts_in_flight: Start orders that are not answered yet.
+        unsent_starts: Members of gangs whose start has not been sent yet,
+            because too many others are in flight.
         entries_answered_at: When worker entries were last received.
         entries_read_at: The received entries are at least as recent as this.
     """
@@ -419,6 +421,7 @@
         self.successor_capacity = 0.0
         self.worker_reached_at = 0
         self.starts_in_flight = 0
+        self.unsent_starts: dict[records.TaskKey, Task] = {}
         self.entries_answered_at = now
         self.entries_read_at = now
         self.settled_at = 0
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -204,6 +204,8 @@
         self.fail = set()
         # Whether it rejects a start that exceeds its capacity.
         self.enforces_capacity = False
+        # Number of starts to refuse, as an unhealthy worker does.
+        self.refused_starts = 0
         # Number of starts to lose.
         self.lost_starts = 0
         # Number of starts to execute without sending an answer.
@@ -945,6 +947,10 @@
                 self.lose_power(worker)
                 answer(effect.timeout_ms, "unknown", "silent")
                 return
+            if op == "start" and worker.refused_starts:
+                worker.refused_starts -= 1
+                answer(LINK_DELAY_MS, "refused", "status 503")
+                return
             if op == "start" and worker.lost_starts:
                 worker.lost_starts -= 1
                 answer(effect.timeout_ms, "unknown", "silent")
