Know the runs of an occurrence that a former leader's clock made due

What callers would see: a timed task that has ended as done runs again (TWICE).

Cause: a leader creates the tasks of an occurrence a second before it is due by its own clock. The end of a run that a former leader had started, by a clock that was ahead, found no task, was acknowledged and forgotten; a run that went on was stopped. Both started again once the occurrence was due here.

Evidence: both cases of test_run_of_a_leader_with_a_fast_clock_is_known failed, with a second start.

Change: a report on an occurrence that has not been expanded expands it. Its other tasks start no earlier than before.

--- a/packages/core/src/skylarklug/scheduler/ends.py
+++ b/packages/core/src/skylarklug/scheduler/ends.py
@@ -56,7 +56,7 @@
     key = report.key
     effects.append(fx.Measure("skylarklug.ends", 1, {"how": report.outcome}))
     job = leader.jobs.get(key.job)
-    task = None if job is None else job.tasks.get(key)
+    task = jobs.find_reported_task(state, key)
     fields = {
         "task": str(key),
         "attempt": report.attempt,
--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -215,6 +215,25 @@
         _expand_occurrence(state, job, occurrence, due)
 
 
+def find_reported_task(state, key):
+    """Returns the task of a run that a worker reports; None if there is none.
+
+    A former leader, whose clock was ahead, may have started an occurrence that
+    is not due here yet.
+    """
+    job = state.leader.jobs.get(key.job)
+    if job is None:
+        return None
+    if (
+        key.occurrence < job.spec.repeats
+        and key.occurrence not in job.expanded
+        and job.state not in records.FINAL_STATES
+    ):
+        due = job.spec.first_due_ms + key.occurrence * job.spec.interval_ms
+        _expand_occurrence(state, job, key.occurrence, due)
+    return job.tasks.get(key)
+
+
 def _expand_occurrence(state, job, occurrence, due):
     """Creates the tasks of one occurrence."""
     if occurrence in job.expanded:
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -353,8 +353,7 @@
 def _adopt_run(state, effects, worker, report):
     """Adopts a run that a former leader started, or stops it."""
     leader = state.leader
-    job = leader.jobs.get(report.key.job)
-    task = None if job is None else job.tasks.get(report.key)
+    task = jobs.find_reported_task(state, report.key)
     if task is not None and not task.worker:
         if report.attempt > task.attempt:
             jobs.dequeue(leader, task)
@@ -367,10 +366,10 @@
             task.listed_at = 0
             task.held = False
             if not leader.settled:
-                jobs.release_later_steps(job, task.key)
+                jobs.release_later_steps(task.job, task.key)
             task.pace_confirmed = False
             _update_run(state, task, report)
-            orders.mark_started(leader, job)
+            orders.mark_started(leader, task.job)
             return True
     if task is not None and task.worker and task.attempt == report.attempt:
         # No gang member or speculative copy shares task and attempt. This is
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -472,6 +472,8 @@
         self.alive = True
         # What has arrived at a paused process; None while it runs.
         self.paused_events = None
+        # How far its time of day is ahead of true time.
+        self.wall_error_ms = 0
         self.watched = {}
         self.missed = set()
         # Tables whose reads get no answer.
@@ -602,7 +604,7 @@
     def tick(self, node):
         if not node.alive or node.paused_events is not None:
             return
-        wall_ms = self.now + WALL_OFFSET
+        wall_ms = self.now + WALL_OFFSET + node.wall_error_ms
         self.dispatch(node, events.Tick(node.clock.now(), wall_ms))
         self.after(TICK_INTERVAL_MS, lambda: self.tick(node))
 
--- a/tests/scheduler/test_listed_ends.py
+++ b/tests/scheduler/test_listed_ends.py
@@ -1,4 +1,4 @@
-"""Answers of workers that list only the oldest of their ends."""
+"""Ends of runs that a leader is told late, in parts or unexpectedly."""
 
 import pytest
 import scheduler_fakes as fakes
@@ -81,3 +81,33 @@
         sim.run(30_000)
         assert sim.state_of(1) == "done"
         assert not sim.find_problems()
+
+
+class TestOccurrenceThatIsNotDue:
+    @pytest.mark.parametrize("run_ms", [500, 6_000])
+    def test_run_of_a_leader_with_a_fast_clock_is_known(
+        self, deployment, run_ms
+    ):
+        """Guards against a second run of a timed task because the next leader,
+        whose clock is behind, does not expect that it has begun."""
+        sim = deployment(workers=1)
+        sim.workers["w0"].run_ms = run_ms
+        leader = sim.leader()
+        for node in sim.nodes.values():
+            if node is not leader:
+                node.wall_error_ms = -15_000
+        sim.submit(
+            1,
+            fakes.step(),
+            node=leader.name,
+            repeats=1,
+            first_due_ms=sim.now + fakes.WALL_OFFSET + 1_500,
+            interval_ms=1_000,
+        )
+        while not sim.starts:
+            sim.run(5)
+        sim.kill(leader.name)
+        sim.run(40_000)
+        assert len(sim.starts) == 1
+        assert sim.state_of(1) == "done"
+        assert not sim.find_problems()
