Reset the connection of a request that is given up

Cause: a request that had timed out was given up by closing its connection. The system goes on delivering what a closed socket has buffered, so an order could reach its peer seconds after its sender's permission had run out.

Evidence: test_rest_of_the_request_is_not_delivered failed: the peer got the whole request and a normal end.

Change: the connection is reset, which discards what has not been delivered. What is already in the network, or with the peer, may still be executed.

--- a/packages/node/src/skylarklugd/client.py
+++ b/packages/node/src/skylarklugd/client.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import collections
+import socket
+import struct
 from typing import NamedTuple
 
 import httptools
@@ -17,6 +19,8 @@
 # Maximum size of a response, head and body, in bytes. The largest one is a
 # page of 1 MB of rows, in base64.
 MAX_RESPONSE_BYTES = 4_194_304
+# Value of SO_LINGER (on, 0 s) with which a close discards what is unsent.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # An idle connection is closed after this time.
 IDLE_TIMEOUT_S = 15.0
 
@@ -77,8 +81,17 @@
             self.fail(reason)
 
     def fail(self, reason: str):
-        """Closes the connection and fails the exchange in progress."""
+        """Closes the connection and fails the exchange in progress.
+
+        The connection is reset: otherwise the system goes on delivering a
+        request that has been given up, when another node may already lead.
+        """
         if self._transport is not None:
+            sock = self._transport.get_extra_info("socket")
+            if sock is not None and self._response is not None:
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
             self._transport.abort()
         self._set_failure(reason)
 
--- a/tests/node/test_client.py
+++ b/tests/node/test_client.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 import time
 
 import pytest
@@ -237,6 +238,46 @@
         assert exchange([], scenario) == [0, 200] * 3
 
 
+class TestRequestThatWasGivenUp:
+    def test_rest_of_the_request_is_not_delivered(self):
+        """Guards against an order that arrives after its sender has given it
+        up, and after an order of the next leader."""
+        body = b"x" * 150_000
+
+        def read_all(sock):
+            conn, _ = sock.accept()
+            conn.settimeout(5)
+            # Nothing is read until the client has given up.
+            time.sleep(0.4)
+            size = 0
+            try:
+                while data := conn.recv(65_536):
+                    size += len(data)
+            except ConnectionResetError:
+                return size, "reset"
+            finally:
+                conn.close()
+            return size, "closed"
+
+        async def scenario():
+            with socket.socket() as sock:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+                sock.bind(("127.0.0.1", 0))
+                sock.listen()
+                host, port = sock.getsockname()
+                reading = asyncio.to_thread(read_all, sock)
+                reading = asyncio.ensure_future(reading)
+                http = client.Client(connections=2, connect_timeout_ms=500)
+                with pytest.raises(upstream.ExchangeFailed) as caught:
+                    await http.call(f"{host}:{port}", "POST", "/", body, 200)
+                assert caught.value.sent
+                return await reading
+
+        size, end = asyncio.run(scenario())
+        assert end == "reset"
+        assert size < len(body)
+
+
 class TestFailures:
     def test_refused_connection_sends_nothing(self):
         """Guards against "unknown" where the peer cannot have the request."""
