Compare only losses of one kind when workers are lost together

What callers would see: a task that crashes worker after worker, for ever, because some other worker is always losing its power.

Evidence: test_task_that_crashes_workers_while_others_lose_power failed: the job was running after a minute.

Change: a host that refuses connections at once has lost a process, not its power. Such losses are compared with each other only, by when the broken connection was noticed.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -23,8 +23,6 @@
 
 # A run that a worker has reported for this long has passed its trial.
 TRIAL_MS = 500
-# The end of a worker's process is noticed up to this much later.
-NOTICE_MS = 400
 # A run that a worker has reported for this long is hardly the cause of a crash.
 MAX_CRASH_AGE_MS = 10_000
 # A run that a worker has reported for this long is not the cause of a crash,
@@ -55,7 +53,7 @@
     """Returns whether a worker has ended right after the start of a run."""
     return (
         crash.survived_ms < TRIAL_MS
-        and 0 <= crash.ended_ms < TRIAL_MS + NOTICE_MS
+        and 0 <= crash.ended_ms < TRIAL_MS + outages.NOTICE_MS
     )
 
 
@@ -181,7 +179,7 @@
     """Returns when a run had certainly ended, in ms after its start, or -1."""
     if outage is None or not outage.ended_at:
         return -1
-    return max(0, outage.ended_at - outages.began_at(task))
+    return max(0, outage.ended_at - outages.run_began_at(task))
 
 
 def _update_record(leader, task) -> bool:
--- a/packages/core/src/skylarklug/scheduler/outages.py
+++ b/packages/core/src/skylarklug/scheduler/outages.py
@@ -10,6 +10,10 @@
 
 # A run that has been started this long before is new.
 NEW_RUN_MS = 500
+# The end of a worker's process is noticed up to this much later.
+NOTICE_MS = 400
+# A connection that the end of a process has broken is noticed this soon.
+BREAK_NOTICE_MS = 100
 # Time after which an outage is forgotten. It exceeds the time until the runs of
 # a silent worker are lost.
 MEMORY_MS = 30_000
@@ -27,6 +31,8 @@
         jobs: The jobs whose tasks it had.
         has_new_run: Whether one of them had just been started.
         ended_at: When its process was known to have ended; 0 if it is not.
+        is_refusing: Whether its host went on, and refused connections from then
+            on. A host without power does not answer.
     """
 
     answered_at: int
@@ -34,9 +40,10 @@
     jobs: frozenset[str]
     has_new_run: bool
     ended_at: int = 0
+    is_refusing: bool = False
 
 
-def began_at(task) -> int:
+def run_began_at(task) -> int:
     """Returns when the current run was confirmed, or else ordered."""
     return task.running_since or task.ordered_at
 
@@ -57,19 +64,36 @@
     has_new_run = False
     for task in worker.runs.values():
         names.add(task.key.job)
-        if not task.adopted and state.now - began_at(task) < NEW_RUN_MS:
+        if not task.adopted and state.now - run_began_at(task) < NEW_RUN_MS:
             has_new_run = True
     leader.outages[key] = Outage(
         worker.answered_at, state.now, frozenset(names), has_new_run
     )
 
 
-def note_end(state, worker):
-    """Notes that the process of a worker is known to have ended."""
+def note_end(state, worker, refused=False):
+    """Notes that the process of a worker is known to have ended.
+
+    Args:
+        state: State of the node, which leads.
+        worker: The worker.
+        refused: Whether its host has refused a connection.
+    """
     key = (worker.name, worker.incarnation)
     outage = state.leader.outages.get(key)
-    if outage is not None and not outage.ended_at:
-        state.leader.outages[key] = outage._replace(ended_at=state.now)
+    if outage is None or outage.ended_at:
+        return
+    is_refusing = refused and state.now - outage.noticed_at <= NOTICE_MS
+    state.leader.outages[key] = outage._replace(
+        ended_at=state.now, is_refusing=is_refusing
+    )
+
+
+def _began_at(outage) -> int:
+    """Returns from when on the worker may have been lost."""
+    if outage.is_refusing:
+        return max(outage.answered_at, outage.noticed_at - BREAK_NOTICE_MS)
+    return outage.answered_at
 
 
 def is_shared(leader, outage, job) -> bool:
@@ -86,9 +110,11 @@
     if outage is None:
         return False
     for other in leader.outages.values():
-        if other.answered_at > outage.noticed_at:
+        if other.is_refusing != outage.is_refusing:
+            continue
+        if _began_at(other) > outage.noticed_at:
             continue
-        if outage.answered_at > other.noticed_at:
+        if _began_at(outage) > other.noticed_at:
             continue
         if job not in other.jobs and not other.has_new_run:
             return True
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -421,7 +421,7 @@
         event.reason == events.NOT_LISTENING
         and event.address == worker.answered_address
     ):
-        outages.note_end(state, worker)
+        outages.note_end(state, worker, refused=True)
     if event.reason == "fence":
         orders.suspend_orders(state, effects, worker.name)
     if event.result == "reborn" and _is_own_address(state, worker, event):
--- a/tests/scheduler/test_crash_evidence.py
+++ b/tests/scheduler/test_crash_evidence.py
@@ -180,6 +180,29 @@
             assert len(starts_of(sim, fakes.first_key(number))) <= 5
 
 
+class TestOtherCause:
+    def test_task_that_crashes_workers_while_others_lose_power(
+        self, deployment
+    ):
+        """Guards against a task that crashes worker after worker because some
+        other worker is always losing its power."""
+        sim = deployment(workers=24)
+        key = fakes.first_key(1)
+        sim.fatal_tasks.add(key)
+
+        def lose(number):
+            worker = list(sim.workers.values())[number % len(sim.workers)]
+            sim.lose_power(worker, 5_000)
+            sim.after(300, lambda: lose(number + 7))
+
+        lose(0)
+        sim.run(4_000)
+        sim.submit(1, fakes.step())
+        sim.run(60_000)
+        assert sim.state_of(1) == "failed"
+        assert len(starts_of(sim, key)) <= 5
+
+
 class TestKnownTime:
     def test_run_of_unknown_age_has_not_crashed_its_worker(self, deployment):
         """Guards against a run that has lasted, with no poll to show it, and
