Find the workers that were lost together once for each worker

Cause: whether a crash is shared was looked up for each task, over all outages of the last 30 s: work that grows with the square of the workers lost at once. Change: what ran on the other workers is found once for each lost worker.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -144,6 +144,7 @@
         # It ends as planned.
         return []
     outage = leader.outages.get((worker.name, worker.incarnation))
+    beside = outages.jobs_beside(leader, outage)
     max_age_ms = FORGET_CRASHES_MS if lost else MAX_CRASH_AGE_MS
     changed = []
     for task in worker.runs.values():
@@ -152,7 +153,7 @@
         if task.key in leader.unsent_starts:
             continue
         if task.attempt in task.crashes:
-            if lost and _update_record(leader, task):
+            if lost and _update_record(task, worker, outage, beside):
                 changed.append(_changed_job(task))
             continue
         survived = task.survived_ms() if task.running_since else -1
@@ -168,7 +169,7 @@
             survived,
             proven,
             _ended_ms(task, outage),
-            outages.is_shared(leader, outage, task.key.job),
+            outages.is_shared(beside, task.key.job),
         )
         watch(leader, task)
         changed.append(_changed_job(task))
@@ -182,18 +183,17 @@
     return max(0, outage.ended_at - outages.run_began_at(task))
 
 
-def _update_record(leader, task) -> bool:
+def _update_record(task, worker, outage, beside) -> bool:
     """Updates the record of the current run; returns whether it has changed.
 
     More may be known of its worker, and of others that were lost.
     """
     crash = task.crashes[task.attempt]
-    outage = leader.outages.get((crash.worker, crash.incarnation))
-    if outage is None:
+    if outage is None or crash.incarnation != worker.incarnation:
         return False
     updated = crash._replace(
         ended_ms=_ended_ms(task, outage),
-        shared=outages.is_shared(leader, outage, task.key.job),
+        shared=outages.is_shared(beside, task.key.job),
     )
     task.crashes[task.attempt] = updated
     return updated != crash
--- a/packages/core/src/skylarklug/scheduler/outages.py
+++ b/packages/core/src/skylarklug/scheduler/outages.py
@@ -96,26 +96,39 @@
     return outage.answered_at
 
 
-def is_shared(leader, outage, job) -> bool:
-    """Returns whether a cause other than tasks took workers down together.
-
-    A job that had tasks on all of them may be the cause, and so may tasks that
-    had just started on each.
+def jobs_beside(leader, outage) -> list[frozenset[str]]:
+    """Returns what ran on the workers that were lost together with one.
 
     Args:
         leader: State of the leader.
-        outage: The outage of one of the workers; None if it is not known.
-        job: Name of a job that had a task there.
+        outage: The outage of the worker; None if it is not known.
+
+    Returns:
+        The names of the jobs on each of the others, without those on which a
+        task had just started. That task may be the cause there.
     """
     if outage is None:
-        return False
+        return []
+    began_at = _began_at(outage)
+    found = []
     for other in leader.outages.values():
-        if other.is_refusing != outage.is_refusing:
+        if other is outage or other.has_new_run:
             continue
-        if _began_at(other) > outage.noticed_at:
+        if other.is_refusing != outage.is_refusing:
             continue
-        if _began_at(outage) > other.noticed_at:
+        if other.noticed_at < began_at or _began_at(other) > outage.noticed_at:
             continue
-        if job not in other.jobs and not other.has_new_run:
-            return True
-    return False
+        found.append(other.jobs)
+    return found
+
+
+def is_shared(beside, job) -> bool:
+    """Returns whether a cause other than a job took workers down together.
+
+    A job that had tasks on all of them may be the cause.
+
+    Args:
+        beside: What `jobs_beside` has returned for a worker that was lost.
+        job: Name of a job that had a task there.
+    """
+    return any(job not in names for names in beside)
