Stop a gang whose worker restarts before its members are ordered

Cause, found by reading the diff: a start that waits for others to be answered was dropped when its worker had restarted, and the members on other workers were still ordered, and waited alone. An answer also let the next member start before it was handled, also if it was the refusal that stops the gang. Evidence: test_worker_restarts_before_its_members_are_ordered failed (alone). Change: the others are stopped, and an answer is handled first. The reason of a job that has crashed workers names only those that count.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -28,8 +28,8 @@
 # A run that a worker has reported for this long is not the cause of a crash,
 # and proves that earlier crashes were not caused by its task.
 FORGET_CRASHES_MS = 60_000
-# A task is given up after this many proven crashes within `TRIAL_MS` of a start
-# that the worker had confirmed.
+# A task is given up after this many proven crashes right after a start that the
+# worker had confirmed.
 MAX_TRIAL_CRASHES = 2
 # A task is given up after this many proven crashes within `MAX_CRASH_AGE_MS`.
 MAX_CRASHES = 3
@@ -95,7 +95,8 @@
 
 def describe(task) -> str:
     """Returns which workers the task has crashed, for the log."""
-    names = sorted({crash.worker for crash in task.crashes.values()})
+    proofs = [crash for crash in task.crashes.values() if _is_proof(crash)]
+    names = sorted({crash.worker for crash in proofs})
     return f"task {task.key} crashed workers {', '.join(names)}"
 
 
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -306,7 +306,12 @@
     if event.op == "start":
         # Orders of an earlier leadership of this node are answered too.
         leader.starts_in_flight = max(0, leader.starts_in_flight - 1)
-        _send_waiting_starts(state, effects)
+    _handle_answer(state, event, effects)
+    _send_waiting_starts(state, effects)
+
+
+def _handle_answer(state, event, effects):
+    leader = state.leader
     if event.result == "rejected" and event.reason == "fence":
         suspend_orders(state, effects, event.worker)
         return
--- a/tests/scheduler/test_gangs.py
+++ b/tests/scheduler/test_gangs.py
@@ -94,6 +94,30 @@
         assert gang.state_of(1) == "done"
         assert not gang.find_problems()
 
+    def test_worker_restarts_before_its_members_are_ordered(self, gang):
+        """Guards against members that wait alone for others whose start was
+        dropped before it was sent."""
+        for worker in gang.workers.values():
+            worker.resize(cpu=20_000)
+            worker.lost_starts = 64
+        gang.publish_workers()
+        gang.run(500)
+        gang.submit(1, fakes.step(300, cpu=250, gang=True))
+        leader = gang.leader().state.leader
+        while not leader.unsent_starts:
+            gang.run(1)
+        # No member on this worker has been ordered yet.
+        *_, last = leader.unsent_starts.values()
+        worker = gang.workers[last.worker]
+        assert not worker.runs
+        worker.crash(incarnation=2)
+        worker.lost_starts = 0
+        gang.publish_workers()
+        gang.run(20_000)
+        outcomes = [outcome for _, _, _, _, outcome in gang.history]
+        assert "alone" not in outcomes
+        assert gang.state_of(1) == "done"
+
     def test_cancelled_while_members_wait_for_their_order(self, gang):
         """Guards against members that start after their job was cancelled."""
         for worker in gang.workers.values():
