Share the search for unproven crashes, and the withdrawal of a start

Cause: prove_at_address repeated the loop of _pop_unproven, and a worker that has restarted repeated what withdraws a start from a gang. Change: both call one function each; behaviour stays as it is.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -252,29 +252,30 @@
     for name, tasks in list(leader.unproven_crashes.items()):
         if name == worker.name:
             continue
-        for task in tasks.values():
-            if task.key not in task.job.tasks:
+        for task, attempt, crash in _find_unproven(name, tasks):
+            if crash.address != worker.entry.address:
                 continue
-            for attempt, crash in task.crashes.items():
-                if crash.worker != name or crash.proven:
-                    continue
-                if crash.address != worker.entry.address:
-                    continue
-                if crash.incarnation >= worker.incarnation:
-                    continue
-                task.crashes[attempt] = crash._replace(proven=True)
-                changed.append(_changed_job(task))
+            if crash.incarnation >= worker.incarnation:
+                continue
+            task.crashes[attempt] = crash._replace(proven=True)
+            changed.append(_changed_job(task))
     return changed
 
 
 def _pop_unproven(leader, worker):
     """Returns (task, attempt, crash) of a worker's crashes, watched no more."""
+    tasks = leader.unproven_crashes.pop(worker.name, {})
+    return _find_unproven(worker.name, tasks)
+
+
+def _find_unproven(name, tasks):
+    """Returns (task, attempt, crash) of a worker's crashes under some tasks."""
     found = []
-    for task in leader.unproven_crashes.pop(worker.name, {}).values():
+    for task in tasks.values():
         if task.key not in task.job.tasks:
             continue
         for attempt, crash in task.crashes.items():
-            if crash.worker == worker.name and not crash.proven:
+            if crash.worker == name and not crash.proven:
                 found.append((task, attempt, crash))
     return found
 
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -478,7 +478,7 @@
         _send_start(state, effects, task, worker)
 
 
-def _withdraw_start(state, effects, task, reason):
+def withdraw_start(state, effects, task, reason):
     """Stops a task that has not been confirmed, and the rest of its gang."""
     stop(state, effects, task, reason)
     gangs.stop_other_members(state, effects, task, reason)
@@ -495,12 +495,12 @@
     if not enforced and capacity.is_exceeded(worker):
         # An earlier order may have been executed. After a stop the worker
         # rejects the attempt.
-        _withdraw_start(state, effects, task, "the worker has shrunk")
+        withdraw_start(state, effects, task, "the worker has shrunk")
         return
     limit = MAX_GANG_START_ORDERS if task.step.gang else MAX_START_ORDERS
     if task.order_count >= limit:
         task.avoided_workers.add(worker.name)
-        _withdraw_start(state, effects, task, "no answer to its start")
+        withdraw_start(state, effects, task, "no answer to its start")
         return
     _send_start(state, effects, task, worker)
 
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -384,8 +384,7 @@
         if worker.restarted:
             # An order in flight may still reach the new incarnation, which
             # rejects it after a stop.
-            orders.stop(state, effects, task, "worker restarted")
-            gangs.stop_other_members(state, effects, task, "worker restarted")
+            orders.withdraw_start(state, effects, task, "worker restarted")
         return
     if worker.restarted and sent_at >= task.confirmed_at:
         _mark_run_lost(state, effects, worker, task, "reborn")
