Log and measure how long long-running tasks are without a run

Cause: nothing told how long a long-running task had been without a run. Its wait began anew with each requeue, a task that was never placed left no line, and neither the end of its last run nor its stops for short tasks were known where it was placed.

Change: a task knows since when it has had no run of a second or more, how its latest run ended, and how often it was stopped for short tasks. `place`, `stop` and `run-lost` log it, `long-running-idle` names each second the tasks that have waited longest, what they wait for and on how many workers they would fit, and two metrics count it. No decision changes.

--- a/packages/core/src/skylarklug/scheduler/ends.py
+++ b/packages/core/src/skylarklug/scheduler/ends.py
@@ -150,7 +150,7 @@
 
 
 def _requeue(state, effects, worker, task, delay_ms, outcome):
-    orders.requeue(state, effects, task, worker, delay_ms)
+    orders.requeue(state, effects, task, worker, delay_ms, outcome=outcome)
     gangs.stop_other_members(
         state, effects, task, f"gang member ended: {outcome}"
     )
--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -260,6 +260,7 @@
             task.held = held
             task.waiting_since = _accepted_at(state, job, due)
             task.speed_wanted_since = task.waiting_since
+            task.idle_since = task.waiting_since
             job.tasks[key] = task
     for number, step in enumerate(job.spec.steps):
         if _is_ready(job, occurrence, step):
@@ -330,6 +331,7 @@
         if task is not None and task.status == state_lib.WAITING:
             if since is not None:
                 task.waiting_since = since
+                task.idle_since = since
             enqueue(leader, task)
 
 
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -145,6 +145,9 @@
         "epoch": leader.epoch,
         "waited_ms": state.now - task.waiting_since,
         "waited_for": task.wait_reason or "nothing",
+        "idle_ms": state.now - task.idle_since,
+        "last_end": task.last_end or "none",
+        "preemptions": task.preemptions,
         "resumed": bool(task.checkpoint),
         "free_cpu": worker.entry.capacity.cpu - worker.used[0],
         "view_ms": state.now - worker.answered_at,
@@ -152,6 +155,12 @@
     effects.append(fx.Log("info", "place", fields))
     waited = (state.now - task.waiting_since) / 1000
     effects.append(fx.Measure("skylarklug.start.wait", waited, {}))
+    if task.step.runs_until_cancelled:
+        idle = (state.now - task.idle_since) / 1000
+        attributes = {"last_end": task.last_end or "none"}
+        effects.append(
+            fx.Measure("skylarklug.long_running.idle", idle, attributes)
+        )
 
 
 def _send_start(state, effects, task, worker):
@@ -195,6 +204,7 @@
         "attempt": task.attempt,
         "worker": task.worker,
         "reason": reason,
+        "ran_ms": _ran_ms(task, state.now),
     }
     effects.append(fx.Log("info", "stop", fields))
     _send_stop(state, effects, task)
@@ -269,10 +279,19 @@
     _append_stop(state, effects, worker, report.key, report.attempt)
 
 
-def requeue(state, effects, task, worker, delay_ms=0, since=None):
+def _ran_ms(task, until) -> int:
+    """Returns for how long the worker has run the current attempt, in ms."""
+    if not task.running_since:
+        return 0
+    return max(0, until - task.running_since)
+
+
+def requeue(
+    state, effects, task, worker, delay_ms=0, since=None, outcome="not started"
+):
     """Frees the resources of a run that is gone and enqueues its task.
 
-    The task has waited since `since`, or from now on. A task that has ended is
+    The run ended with `outcome` at `since`, or now. A task that has ended is
     removed instead.
     """
     leader = state.leader
@@ -288,8 +307,12 @@
         jobs.remove_task(job, task)
         jobs.remove_closed(state, job)
         return
+    ended_at = state.now if since is None else since
+    if _ran_ms(task, ended_at) >= state_lib.LASTING_RUN_MS:
+        task.idle_since = ended_at
     task.status = state_lib.WAITING
-    task.waiting_since = state.now if since is None else since
+    task.last_end = outcome
+    task.waiting_since = ended_at
     task.speed_wanted_since = state.now
     task.wait_reason = ""
     task.not_before = max(task.not_before, state.now + delay_ms)
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -32,6 +32,10 @@
 FULL_SEARCH_MS = 250
 # Interval at which waiting tasks are counted by reason.
 MEASURE_INTERVAL_MS = 1_000
+# A long-running task that has been idle for this long is logged.
+IDLE_WARNING_MS = 6_000
+# Maximum number of idle tasks logged at once, those that are idle longest.
+MAX_IDLE_WARNINGS = 3
 
 
 def _eligible_workers(state, task):
@@ -386,6 +390,49 @@
         effects.append(
             fx.Measure("skylarklug.tasks.waiting", count, attributes)
         )
+    _measure_idle_tasks(state, effects)
+
+
+def _measure_idle_tasks(state, effects):
+    """Records how long long-running tasks have been without a run."""
+    idle_tasks = []
+    for group in state.leader.ready.values():
+        task = next(iter(group.values()))
+        if task.step.runs_until_cancelled:
+            idle_tasks.extend(group.values())
+    idle_tasks.sort(key=lambda task: (task.idle_since, task.key))
+    longest_ms = state.now - idle_tasks[0].idle_since if idle_tasks else 0
+    effects.append(
+        fx.Measure(
+            "skylarklug.long_running.longest_idle", longest_ms / 1000, {}
+        )
+    )
+    for task in idle_tasks[:MAX_IDLE_WARNINGS]:
+        idle_ms = state.now - task.idle_since
+        if idle_ms < IDLE_WARNING_MS:
+            return
+        fields = {
+            "task": str(task.key),
+            "idle_ms": idle_ms,
+            "last_end": task.last_end or "none",
+            "waits_for": task.wait_reason or "nothing",
+            "preemptions": task.preemptions,
+            "delayed_ms": max(0, task.not_before - state.now),
+            "cpu": task.step.resources.cpu,
+            "memory_mb": task.step.resources.memory_mb,
+            "fits_on": _count_fitting_workers(state, task),
+            "idle_tasks": len(idle_tasks),
+        }
+        effects.append(fx.Log("warning", "long-running-idle", fields))
+
+
+def _count_fitting_workers(state, task):
+    """Returns how many workers that may run a task have room for it."""
+    count = 0
+    for worker in _eligible_workers(state, task):
+        if scoring.fits(worker, task.step):
+            count += 1
+    return count
 
 
 HANDLERS = {
--- a/packages/core/src/skylarklug/scheduler/preemption.py
+++ b/packages/core/src/skylarklug/scheduler/preemption.py
@@ -41,6 +41,7 @@
     if victim is None:
         return
     leader.preemption_due_at = state.now + MIN_INTERVAL_MS
+    victim.preemptions += 1
     orders.stop(state, effects, victim, f"room for {task.key}")
 
 
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -15,6 +15,8 @@
 # A healthy worker answers a poll within the poll's wait and a round trip. A
 # worker that has been silent for longer gets no tasks.
 WORKER_SILENCE_MS = 2_000
+# A task whose runs all end sooner is not at work.
+LASTING_RUN_MS = 1_000
 
 
 class Task:
@@ -58,6 +60,11 @@
         waiting_since: When the task started to wait for its next start. For
             the first start, when its job was accepted or the last step that it
             waits for was done.
+        idle_since: Since when it has had no run that lasted: since it was
+            accepted, or since the end of the latest run of at least
+            `LASTING_RUN_MS`.
+        last_end: How its latest run ended; empty if it has had none.
+        preemptions: How often it was stopped for short tasks.
         speed_wanted_since: Since when a best-effort task has waited for a
             worker that allows it its full speed: since its job was accepted or
             its latest run ended. A later step does not wait anew.
@@ -77,8 +84,10 @@
         "full_speed_cpu",
         "measurement",
         "held",
+        "idle_since",
         "job",
         "key",
+        "last_end",
         "listed_at",
         "estimated_at",
         "missed_polls",
@@ -90,6 +99,7 @@
         "pace_confirmed",
         "pace_ordered_at",
         "percent",
+        "preemptions",
         "running_since",
         "slow_since",
         "status",
@@ -133,6 +143,9 @@
         self.estimated_at = 0
         self.missed_polls = 0
         self.waiting_since = 0
+        self.idle_since = 0
+        self.last_end = ""
+        self.preemptions = 0
         self.wait_reason = ""
         self.speed_wanted_since = 0
 
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -179,10 +179,12 @@
         "survived_ms": task.survived_ms(),
         "crashes": len(task.crashes),
         "delay_ms": delay_ms,
+        "ended_ms_ago": 0 if since is None else state.now - since,
     }
     effects.append(fx.Log("warning", "run-lost", fields))
     effects.append(fx.Measure("skylarklug.runs.lost", 1, {"reason": reason}))
-    orders.requeue(state, effects, task, worker, delay_ms, since)
+    outcome = f"lost: {reason}"
+    orders.requeue(state, effects, task, worker, delay_ms, since, outcome)
     gangs.stop_other_members(state, effects, task, "a member was lost")
     if crashes.is_exhausted(task):
         jobs.fail_job(state, effects, task.job, crashes.describe(task))
--- a/packages/node/src/skylarklugd/logs.py
+++ b/packages/node/src/skylarklugd/logs.py
@@ -15,7 +15,14 @@
 # Written without a limit, because each line concerns a different request or
 # task.
 UNLIMITED_EVENTS = frozenset(
-    {"place", "request-failed", "route", "run-lost", "start-failed"}
+    {
+        "long-running-idle",
+        "place",
+        "request-failed",
+        "route",
+        "run-lost",
+        "start-failed",
+    }
 )
 
 # Characters that would break a line's format.
