Bound how long a long-running task is without a run

Callers saw long-running tasks that did not run again for 10 to 40 s, or never, after a run that had failed, was stopped or was lost with its worker.

Cause: nothing bounded the time without a run. A long-running task left a reserve to short tasks, nothing kept freed resources together for it, so that short tasks took each piece, and its wait began anew with each requeue. It could be stopped for a short task as soon as it ran. Its delay after uncertain losses grew to 60 s.

Change: one mechanism for all ends. `restarts` counts the time from the end of the latest run that lasted. After three seconds the task is overdue: it goes before all others, without the reserve, and where it fits nowhere `reservations` keeps what becomes free on one worker until it fits, through refused starts too, and already while the worker of its run is silent. If no worker would ever have room, a task of a newer job is stopped for it. Delays between starts are at most two seconds. A run is stopped for a short task only once it has been at work for as long as the task had been idle, at least three seconds.

Why this works: short tasks end within seconds, so what they free on one worker suffices after at most the longest of them.

--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -261,6 +261,8 @@
             task.waiting_since = _accepted_at(state, job, due)
             task.speed_wanted_since = task.waiting_since
             task.idle_since = task.waiting_since
+            if job.started:
+                task.last_end = state_lib.UNKNOWN_END
             job.tasks[key] = task
     for number, step in enumerate(job.spec.steps):
         if _is_ready(job, occurrence, step):
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -15,6 +15,7 @@
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
 from skylarklug.scheduler import records
+from skylarklug.scheduler import restarts
 from skylarklug.scheduler import state as state_lib
 
 # Workers answer within a few milliseconds, distant ones within ten.
@@ -119,6 +120,7 @@
     task.confirmed_at = 0
     task.adopted = False
     task.running_since = 0
+    task.idle_before_ms = restarts.idle_ms(state, task)
     task.listed_at = 0
     task.order_count = 0
     task.percent = 0
@@ -145,7 +147,7 @@
         "epoch": leader.epoch,
         "waited_ms": state.now - task.waiting_since,
         "waited_for": task.wait_reason or "nothing",
-        "idle_ms": state.now - task.idle_since,
+        "idle_ms": task.idle_before_ms,
         "last_end": task.last_end or "none",
         "preemptions": task.preemptions,
         "resumed": bool(task.checkpoint),
@@ -156,10 +158,13 @@
     waited = (state.now - task.waiting_since) / 1000
     effects.append(fx.Measure("skylarklug.start.wait", waited, {}))
     if task.step.runs_until_cancelled:
-        idle = (state.now - task.idle_since) / 1000
         attributes = {"last_end": task.last_end or "none"}
         effects.append(
-            fx.Measure("skylarklug.long_running.idle", idle, attributes)
+            fx.Measure(
+                "skylarklug.long_running.idle",
+                task.idle_before_ms / 1000,
+                attributes,
+            )
         )
 
 
@@ -204,7 +209,7 @@
         "attempt": task.attempt,
         "worker": task.worker,
         "reason": reason,
-        "ran_ms": _ran_ms(task, state.now),
+        "ran_ms": ran_ms(task, state.now),
     }
     effects.append(fx.Log("info", "stop", fields))
     _send_stop(state, effects, task)
@@ -279,7 +284,7 @@
     _append_stop(state, effects, worker, report.key, report.attempt)
 
 
-def _ran_ms(task, until) -> int:
+def ran_ms(task, until) -> int:
     """Returns for how long the worker has run the current attempt, in ms."""
     if not task.running_since:
         return 0
@@ -308,14 +313,18 @@
         jobs.remove_closed(state, job)
         return
     ended_at = state.now if since is None else since
-    if _ran_ms(task, ended_at) >= state_lib.LASTING_RUN_MS:
+    if ran_ms(task, ended_at) >= state_lib.LASTING_RUN_MS:
         task.idle_since = ended_at
     task.status = state_lib.WAITING
     task.last_end = outcome
     task.waiting_since = ended_at
     task.speed_wanted_since = state.now
     task.wait_reason = ""
-    task.not_before = max(task.not_before, state.now + delay_ms)
+    earliest_start = restarts.earliest_start(state, task, ended_at, delay_ms)
+    task.not_before = max(task.not_before, earliest_start)
+    if restarts.is_overdue(state, task):
+        # Its room must not be given to others before it is reserved.
+        leader.overdue_due_at = state.now
     jobs.enqueue(leader, task)
 
 
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -20,6 +20,8 @@
 from skylarklug.scheduler import orders
 from skylarklug.scheduler import preemption
 from skylarklug.scheduler import records
+from skylarklug.scheduler import reservations
+from skylarklug.scheduler import restarts
 from skylarklug.scheduler import roster
 from skylarklug.scheduler import scoring
 from skylarklug.scheduler import state as state_lib
@@ -30,6 +32,14 @@
 # Time after which a kind of task that fitted nowhere looks at all workers
 # again. Back-offs, quarantines and predicted loads change without an event.
 FULL_SEARCH_MS = 250
+# Minimum time between two searches for workers for the overdue tasks.
+OVERDUE_INTERVAL_MS = 50
+# A search for the overdue tasks ends after this many steps of which no task
+# found a worker.
+MAX_FAILED_STEPS = 8
+# An overdue task waits for room on a reliable worker until it has been idle for
+# this long. Then it starts wherever it fits.
+LAST_RESORT_MS = 6_000
 # Interval at which waiting tasks are counted by reason.
 MEASURE_INTERVAL_MS = 1_000
 # A long-running task that has been idle for this long is logged.
@@ -110,6 +120,7 @@
     leader = state.leader
     scoring.update_utilization(state)
     crashes.update_trials(state)
+    _place_overdue(state, effects)
     groups = sorted(
         leader.ready.values(), key=lambda group: _group_sort_key(state, group)
     )
@@ -129,6 +140,61 @@
     _forget_old_failures(state)
 
 
+def _place_overdue(state, effects):
+    """Starts overdue tasks, or reserves workers for those that fit nowhere."""
+    leader = state.leader
+    reservations.update(state)
+    if state.now < leader.overdue_due_at:
+        return
+    leader.overdue_due_at = state.now + OVERDUE_INTERVAL_MS
+    failed_steps = set()
+    for task in reservations.overdue_tasks(state):
+        if not orders.may_start_more(leader):
+            return
+        has_reservation = task.key in leader.reservations
+        if task.key[:3] in failed_steps and not has_reservation:
+            continue
+        if not task.job.start_recorded:
+            continue
+        may_start = _may_start(state, task)
+        if not may_start and task.wait_reason != waiting.DELAYED:
+            continue
+        candidates = _permitted_workers(state, effects, task)
+        if may_start and _start_overdue(state, effects, task, candidates):
+            continue
+        if reservations.reserve(state, task, candidates):
+            task.wait_reason = waiting.RESERVATION
+            continue
+        if not reservations.is_limited(leader, task):
+            preemption.preempt_newer_for(state, effects, task, candidates)
+        failed_steps.add(task.key[:3])
+        if len(failed_steps) == MAX_FAILED_STEPS:
+            return
+    for task in reservations.tasks_of_silent_workers(state):
+        candidates = _permitted_workers(state, effects, task)
+        if not reservations.reserve(state, task, candidates):
+            return
+
+
+def _start_overdue(state, effects, task, candidates):
+    """Starts an overdue task; returns False if it should wait for room."""
+    worker = scoring.best_worker(state, task, candidates)
+    if worker is None:
+        return False
+    if (
+        scoring.is_unreliable(state, worker, task)
+        and restarts.idle_ms(state, task) < LAST_RESORT_MS
+        and not all(
+            scoring.is_unreliable(state, other, task) for other in candidates
+        )
+    ):
+        return False
+    jobs.dequeue(state.leader, task)
+    attempt = orders.next_attempt(state.leader, task)
+    _start(state, effects, task, worker, attempt)
+    return True
+
+
 def _place_group(state, effects, task, group):
     """Starts what fits of a group, unless a smaller task has just failed."""
     leader = state.leader
@@ -220,7 +286,7 @@
     for worker in candidates:
         if limit and scoring.count_tasks_of_step(worker, task) >= limit:
             continue
-        if scoring.fits(worker, task.step):
+        if scoring.fits(worker, task.step, task.key):
             fitting.append(worker)
     if not fitting:
         return waiting.RESOURCES
@@ -244,6 +310,8 @@
     candidates = None
     search = None
     for task in list(group.values()):
+        if task.key in leader.reservations:
+            continue
         if not _may_start(state, task):
             continue
         if not orders.may_start_more(leader):
@@ -252,7 +320,7 @@
         if candidates is None:
             candidates = _permitted_workers(state, effects, task)
         if search is None or not search.serves(state, task):
-            usable = _filter_by_rack(task, candidates)
+            usable = _filter_by_rack(state, task, candidates)
             if since:
                 usable = [w for w in usable if w.change_sequence > since]
             search = scoring.Search(state, task, usable)
@@ -286,9 +354,9 @@
     orders.start(state, effects, task, worker, attempt, ticket)
 
 
-def _filter_by_rack(task, candidates):
+def _filter_by_rack(state, task, candidates):
     """Returns the workers on the rack that a `same_rack` step already uses."""
-    if not task.step.same_rack:
+    if not task.step.same_rack or restarts.is_overdue(state, task):
         return candidates
     used_workers = set()
     for other in task.job.tasks.values():
@@ -320,7 +388,7 @@
     chosen = []
     for task in members:
         worker = scoring.best_worker(
-            state, task, _filter_by_rack(task, candidates)
+            state, task, _filter_by_rack(state, task, candidates)
         )
         if worker is None:
             break
@@ -430,7 +498,7 @@
     """Returns how many workers that may run a task have room for it."""
     count = 0
     for worker in _eligible_workers(state, task):
-        if scoring.fits(worker, task.step):
+        if scoring.fits(worker, task.step, task.key):
             count += 1
     return count
 
--- a/packages/core/src/skylarklug/scheduler/preemption.py
+++ b/packages/core/src/skylarklug/scheduler/preemption.py
@@ -1,13 +1,15 @@
-"""Preempts long-running tasks to free CPU for short ones.
+"""Preempts long-running tasks to free resources for other tasks.
 
 Short tasks earn several times what long-running ones earn for the same CPU,
 but cannot wait. A long-running job loses little while one of its many tasks is
-stopped.
+stopped. An overdue long-running task may preempt one of a newer job.
 """
 
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import maintenance
 from skylarklug.scheduler import orders
+from skylarklug.scheduler import restarts
+from skylarklug.scheduler import scoring
 from skylarklug.scheduler import state as state_lib
 
 # Minimum wait of a short task before it preempts. Tasks that are about to end
@@ -37,16 +39,42 @@
         return
     if jobs.lateness(state, task.job):
         return
-    victim = _choose_victim(state, task, candidates)
+
+    def is_dispensable(other):
+        return _unavailable_share(other) <= MAX_UNAVAILABLE_SHARE
+
+    _preempt(state, effects, task, candidates, is_dispensable)
+
+
+def preempt_newer_for(state, effects, task, candidates) -> None:
+    """Stops a task of a newer job if that frees enough for an overdue task.
+
+    Where long-running tasks take up all workers for good, those of the oldest
+    jobs run. The arguments are those of `preempt_for`.
+    """
+    if state.now < state.leader.preemption_due_at:
+        return
+
+    def is_newer(other):
+        return other.job.spec.accepted_ms > task.job.spec.accepted_ms
+
+    _preempt(state, effects, task, candidates, is_newer)
+
+
+def _preempt(state, effects, task, candidates, allows):
+    victim = _choose_victim(state, task, candidates, allows)
     if victim is None:
         return
-    leader.preemption_due_at = state.now + MIN_INTERVAL_MS
+    state.leader.preemption_due_at = state.now + MIN_INTERVAL_MS
     victim.preemptions += 1
     orders.stop(state, effects, victim, f"room for {task.key}")
 
 
-def _choose_victim(state, task, candidates):
-    """Returns the long-running task to stop, or None."""
+def _choose_victim(state, task, candidates, allows):
+    """Returns the long-running task to stop, or None.
+
+    `allows` returns whether a task may be stopped for this one.
+    """
     best = None
     chosen = None
     priority = jobs.priority_of(state, task.job)
@@ -56,17 +84,20 @@
             # A stop in progress already frees enough CPU.
             return None
         for other in worker.runs.values():
-            if not _is_preemptible(other):
+            if not _is_preemptible(state, other):
                 continue
             pairs = zip(other.step.resources, missing, strict=True)
             if any(freed < needed for freed, needed in pairs):
                 continue
             if jobs.priority_of(state, other.job) < priority:
                 continue
-            unavailable = _unavailable_share(other)
-            if unavailable > MAX_UNAVAILABLE_SHARE:
+            if not allows(other):
                 continue
-            score = (unavailable, other.step.resources.cpu, other.key)
+            score = (
+                _unavailable_share(other),
+                other.step.resources.cpu,
+                other.key,
+            )
             if best is None or score < best:
                 best = score
                 chosen = other
@@ -76,8 +107,9 @@
 def _missing_resources(worker, task):
     """Returns what a task lacks on a worker after the stops in progress."""
     missing = []
+    used = scoring.used_beside(worker, task.key)
     for index, need in enumerate(task.step.resources):
-        free = worker.entry.capacity[index] - worker.used[index]
+        free = worker.entry.capacity[index] - used[index]
         missing.append(need - free)
     stopping = list(worker.unwanted_runs)
     for other in worker.runs.values():
@@ -89,12 +121,14 @@
     return missing
 
 
-def _is_preemptible(task):
+def _is_preemptible(state, task):
     step = task.step
     if not step.runs_until_cancelled or step.best_effort or step.gang:
         return False
     if task.status != state_lib.WORKING:
         return False
+    if not restarts.may_preempt(state, task):
+        return False
     return maintenance.allows_disruption(task)
 
 
--- /dev/null
+++ b/packages/core/src/skylarklug/scheduler/reservations.py
@@ -0,0 +1,234 @@
+"""Reserves room on workers for overdue tasks that fit nowhere.
+
+Load pattern: short tasks wait in excess, and each takes the resources that
+another one frees, so that the larger request of a long-running task never fits
+although it comes first. A reservation keeps all that becomes free on one worker
+until the task fits. It is made where that is expected soonest, and while the
+worker of a run is silent, before the run counts as lost.
+"""
+
+from typing import NamedTuple
+
+from skylarklug.scheduler import orders
+from skylarklug.scheduler import records
+from skylarklug.scheduler import restarts
+from skylarklug.scheduler import scoring
+from skylarklug.scheduler import state as state_lib
+
+# Maximum share of the resources of all workers that reservations hold; there
+# is always room for one reservation.
+MAX_RESERVED_SHARE = 0.1
+# Interval at which a reservation may move to a worker that is free sooner.
+REVIEW_INTERVAL_MS = 500
+# Expected remaining time of a run that has outlasted its estimate.
+MIN_REMAINING_MS = 200
+# The tasks of a worker that has been silent for this long get reservations. Its
+# leases end two to three seconds later.
+SILENCE_MS = 4_000
+
+
+class Reservation(NamedTuple):
+    """Room on a worker that is kept for a task.
+
+    Attributes:
+        task: The task.
+        worker: Name of the worker.
+        share: Largest share of a resource of all workers that it takes.
+        reviewed_at: When the worker was chosen.
+    """
+
+    task: state_lib.Task
+    worker: str
+    share: float
+    reviewed_at: int
+
+
+def update(state):
+    """Removes the reservations that are not needed or cannot be used."""
+    leader = state.leader
+    for key, reservation in list(leader.reservations.items()):
+        worker = leader.workers.get(reservation.worker)
+        if worker is not None and worker.reservations.get(key) is not None:
+            if _is_needed(state, reservation.task) and _is_usable(worker):
+                continue
+        release(leader, key)
+
+
+def _is_needed(state, task):
+    if task.job.state in records.FINAL_STATES:
+        return False
+    if task.status == state_lib.WAITING:
+        return restarts.is_overdue(state, task)
+    if task.status == state_lib.STARTING:
+        # The worker may still refuse the start.
+        return True
+    worker = state.leader.workers.get(task.worker)
+    return worker is not None and _is_silent(state, worker)
+
+
+def _is_usable(worker):
+    if worker.failed_polls or not worker.listed or worker.cordoned:
+        return False
+    return not worker.entry.draining
+
+
+def _is_silent(state, worker):
+    if not worker.failed_polls:
+        return False
+    return state.now - worker.answered_at >= SILENCE_MS
+
+
+def release(leader, key):
+    """Removes the reservation of a task, if there is one."""
+    reservation = leader.reservations.pop(key, None)
+    if reservation is None:
+        return
+    worker = leader.workers.get(reservation.worker)
+    if worker is not None:
+        worker.reservations.pop(key, None)
+        worker.record_change(leader)
+
+
+def overdue_tasks(state) -> list:
+    """Returns the waiting tasks that are overdue, longest idle first."""
+    found = []
+    for group in state.leader.ready.values():
+        first = next(iter(group.values()))
+        if not first.step.runs_until_cancelled or first.step.gang:
+            continue
+        for task in group.values():
+            if restarts.is_overdue(state, task):
+                found.append(task)
+    found.sort(key=lambda task: (task.idle_since, task.key))
+    return found
+
+
+def tasks_of_silent_workers(state) -> list:
+    """Returns the long-running tasks whose runs are probably lost."""
+    found = []
+    for worker in state.leader.workers.values():
+        if not worker.runs or not _is_silent(state, worker):
+            continue
+        for task in worker.runs.values():
+            if task.job.state in records.FINAL_STATES or task.step.gang:
+                continue
+            if task.step.runs_until_cancelled:
+                found.append(task)
+    return found
+
+
+def reserve(state, task, candidates) -> bool:
+    """Reserves room for a task on the worker that is expected to have it first.
+
+    Args:
+        state: The node's state.
+        task: A task that fits on none of the candidates now, or that does not
+            wait for its start yet.
+        candidates: Workers that may run it, even if they are full.
+
+    Returns:
+        Whether there is a reservation for the task.
+    """
+    leader = state.leader
+    current = leader.reservations.get(task.key)
+    if current is not None:
+        if state.now - current.reviewed_at < REVIEW_INTERVAL_MS:
+            return True
+        if _is_refused_only(state, task, current):
+            return True
+    release(leader, task.key)
+    share = _largest_share(leader, task)
+    if _is_beyond_limit(leader, share):
+        return False
+    best = None
+    for worker in candidates:
+        if not _is_usable(worker):
+            continue
+        ready_in_ms = _ready_in_ms(state, worker, task)
+        if ready_in_ms is None:
+            continue
+        unreliable = scoring.is_unreliable(state, worker, task)
+        key = (unreliable, ready_in_ms, worker.name)
+        if best is None or key < best[0]:
+            best = key, worker
+    if best is None:
+        return False
+    worker = best[1]
+    leader.reservations[task.key] = Reservation(
+        task, worker.name, share, state.now
+    )
+    worker.reservations[task.key] = orders.counted_resources(task.step)
+    return True
+
+
+def _is_refused_only(state, task, reservation):
+    """Returns whether a task fits on its worker, which has just refused it."""
+    worker = state.leader.workers[reservation.worker]
+    if state.now >= worker.backoff_until or not _is_usable(worker):
+        return False
+    return scoring.fits(worker, task.step, task.key)
+
+
+def is_limited(leader, task) -> bool:
+    """Returns whether the reservations leave no room for that of a task."""
+    return _is_beyond_limit(leader, _largest_share(leader, task))
+
+
+def _is_beyond_limit(leader, share):
+    reserved = sum(other.share for other in leader.reservations.values())
+    return reserved > 0 and reserved + share > MAX_RESERVED_SHARE
+
+
+def _largest_share(leader, task):
+    total = [0, 0, 0]
+    for worker in leader.workers.values():
+        if not worker.listed:
+            continue
+        for index, amount in enumerate(worker.entry.capacity):
+            total[index] += amount
+    need = orders.counted_resources(task.step)
+    shares = [0.0]
+    for amount, available in zip(need, total, strict=True):
+        if available:
+            shares.append(amount / available)
+    return max(shares)
+
+
+def _ready_in_ms(state, worker, task):
+    """Returns when a worker is expected to have room, in ms from now.
+
+    Returns None if it does not have room even once all runs that end by
+    themselves have ended.
+    """
+    limit = task.step.max_per_worker
+    if limit and scoring.count_tasks_of_step(worker, task) >= limit:
+        return None
+    if worker.has_unknown_run:
+        return None
+    capacity = worker.entry.capacity
+    used = scoring.used_beside(worker, task.key)
+    ends = [(0, need) for need in worker.unwanted_runs]
+    for other in worker.runs.values():
+        remaining_ms = _remaining_ms(state, other)
+        if remaining_ms is not None:
+            ends.append((remaining_ms, orders.counted_resources(other.step)))
+    ends.sort()
+    ready_in_ms = 0
+    for remaining_ms, freed in ends:
+        if scoring.fits_beside(used, capacity, task.step):
+            break
+        ready_in_ms = remaining_ms
+        used = [amount - part for amount, part in zip(used, freed, strict=True)]
+    if scoring.fits_beside(used, capacity, task.step):
+        return ready_in_ms
+    return None
+
+
+def _remaining_ms(state, task):
+    """Returns when a run is expected to end, or None if it does not end."""
+    if task.status == state_lib.STOPPING:
+        return 0
+    if task.step.runs_until_cancelled:
+        return None
+    ran_ms = state.now - task.running_since if task.running_since else 0
+    return max(MIN_REMAINING_MS, task.step.estimate_ms - ran_ms)
--- a/packages/core/src/skylarklug/scheduler/scoring.py
+++ b/packages/core/src/skylarklug/scheduler/scoring.py
@@ -13,6 +13,7 @@
 from skylarklug.scheduler import interference
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import order
+from skylarklug.scheduler import restarts
 
 # Average share of its reserved CPU that a task uses. The rest is offered to
 # best-effort tasks, which reserve none.
@@ -52,13 +53,32 @@
 SPEED_WAIT_MS = 1_000
 
 
-def fits(worker, step) -> bool:
-    """Returns whether a worker has the resources that a task requests."""
+def fits(worker, step, key=None) -> bool:
+    """Returns whether a worker has the resources that a task requests.
+
+    What is reserved there for other tasks than that with the key counts as
+    used.
+    """
     if worker.has_unknown_run:
         return False
+    used = used_beside(worker, key) if worker.reservations else worker.used
+    return fits_beside(used, worker.entry.capacity, step)
+
+
+def used_beside(worker, key) -> list[int]:
+    """Returns what is used, or reserved for other tasks, on a worker."""
+    used = list(worker.used)
+    for owner, need in worker.reservations.items():
+        if owner == key or owner in worker.runs:
+            continue
+        for index, amount in enumerate(need):
+            used[index] += amount
+    return used
+
+
+def fits_beside(used, capacity, step) -> bool:
+    """Returns whether a task fits beside used resources into a capacity."""
     need = step.resources
-    capacity = worker.entry.capacity
-    used = worker.used
     if used[1] + need.memory_mb > capacity.memory_mb:
         return False
     if used[2] + need.accelerators > capacity.accelerators:
@@ -110,11 +130,13 @@
     """
     if not task.step.runs_until_cancelled:
         return is_short(task.step) and is_expired(state, task)
-    if state.now - task.waiting_since < LONG_RUNNING_WAIT_MS:
+    if restarts.is_overdue(state, task):
+        return False
+    if restarts.idle_ms(state, task) < LONG_RUNNING_WAIT_MS:
         return True
     places = 0
     for worker in candidates:
-        if fits(worker, task.step):
+        if fits(worker, task.step, task.key):
             free = worker.entry.capacity.cpu - worker.used[0]
             places += max(1, free // max(1, task.step.resources.cpu))
     return places < 2
@@ -175,6 +197,20 @@
         )
 
 
+def is_unreliable(state, worker, task) -> bool:
+    """Returns whether a task is likely to fail on a worker."""
+    if worker.quarantined_until > state.now:
+        return True
+    return worker.name in task.avoided_workers
+
+
+def _waited_ms(state, task):
+    """Returns how long a task has waited, over all starts if it lasts."""
+    if task.step.runs_until_cancelled:
+        return restarts.idle_ms(state, task)
+    return state.now - task.waiting_since
+
+
 def _score(state, worker, task, reserve, is_bound=False):
     """Returns a sort key, lowest best, or None if the task does not fit.
 
@@ -182,17 +218,14 @@
     the time: it leaves out the interference with serving tasks.
     """
     step = task.step
-    if not fits(worker, step):
+    if not fits(worker, step, task.key):
         return None
     if step.max_per_worker:
         if count_tasks_of_step(worker, task) >= step.max_per_worker:
             return None
     rack_mismatch = 0 if not step.rack or step.rack == worker.entry.rack else 1
-    unreliable = (
-        worker.quarantined_until > state.now
-        or worker.name in task.avoided_workers
-    )
-    if unreliable and state.now - task.waiting_since < AVOID_MS:
+    unreliable = is_unreliable(state, worker, task)
+    if unreliable and _waited_ms(state, task) < AVOID_MS:
         return None
     prefix = (unreliable, crashes.trial_risk(task, worker), rack_mismatch)
     if step.best_effort:
@@ -231,7 +264,8 @@
     if state.now - task.speed_wanted_since >= SPEED_WAIT_MS:
         needed = MIN_SPEED_AFTER_WAIT
     if speed < needed and not is_starved(state, task):
-        return None
+        if not restarts.is_overdue(state, task):
+            return None
     return (*prefix, -round(speed, 1), -spare)
 
 
@@ -288,12 +322,13 @@
 
 def _search_profile(state, task):
     """Returns what decides, besides its step, where a task may run."""
-    waited_ms = state.now - task.waiting_since
+    waited_ms = _waited_ms(state, task)
     return (
         frozenset(task.avoided_workers),
         crashes.is_suspect(task),
         waited_ms >= AVOID_MS,
         state.now - task.speed_wanted_since >= SPEED_WAIT_MS,
         waited_ms >= LONG_RUNNING_WAIT_MS,
+        restarts.is_overdue(state, task),
         is_starved(state, task),
     )
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -15,6 +15,8 @@
 # A healthy worker answers a poll within the poll's wait and a round trip. A
 # worker that has been silent for longer gets no tasks.
 WORKER_SILENCE_MS = 2_000
+# How the latest run ended of a task that may have run under a former leader.
+UNKNOWN_END = "unknown"
 # A task whose runs all end sooner is not at work.
 LASTING_RUN_MS = 1_000
 
@@ -63,6 +65,7 @@
         idle_since: Since when it has had no run that lasted: since it was
             accepted, or since the end of the latest run of at least
             `LASTING_RUN_MS`.
+        idle_before_ms: How long it had been idle when its current run started.
         last_end: How its latest run ended; empty if it has had none.
         preemptions: How often it was stopped for short tasks.
         speed_wanted_since: Since when a best-effort task has waited for a
@@ -84,6 +87,7 @@
         "full_speed_cpu",
         "measurement",
         "held",
+        "idle_before_ms",
         "idle_since",
         "job",
         "key",
@@ -144,6 +148,7 @@
         self.missed_polls = 0
         self.waiting_since = 0
         self.idle_since = 0
+        self.idle_before_ms = 0
         self.last_end = ""
         self.preemptions = 0
         self.wait_reason = ""
@@ -236,6 +241,7 @@
         used: [CPU, memory, accelerators] that those tasks reserve and that
             `unwanted_runs` use.
         short_cpu: CPU that short tasks among them reserve.
+        reservations: Resources that are kept free for overdue tasks, by key.
         unwanted_runs: Resources of the runs that it listed last although no
             task here has them; they are being stopped.
         has_unknown_run: Whether the resources of one of those are unknown.
@@ -292,6 +298,7 @@
         "name",
         "reached_at",
         "replaced",
+        "reservations",
         "restarted",
         "backoff_until",
         "change_sequence",
@@ -318,6 +325,7 @@
         self.runs: dict[records.TaskKey, Task] = {}
         self.used = [0, 0, 0]
         self.short_cpu = 0
+        self.reservations: dict[records.TaskKey, records.Resources] = {}
         self.unwanted_runs: list[records.Resources] = []
         self.has_unknown_run = False
         self.allowed_shares: dict[str, float] = {}
@@ -392,6 +400,8 @@
             waiting task start there.
         failed_searches: Kinds of waiting tasks that fitted nowhere, with the
             sequence number of that search.
+        reservations: Reservations of workers, by the key of their task.
+        overdue_due_at: Earliest time at which overdue tasks are placed next.
         placement_due_at: Earliest time of the next placement pass.
         reserved_cpu_share: Share of all CPU that tasks reserve.
         short_task_demand: Moving average of the share of all CPU that short
@@ -458,6 +468,8 @@
         self.placement_requested = False
         self.change_sequence = 1
         self.failed_searches: dict[Any, Any] = {}
+        self.reservations: dict[records.TaskKey, Any] = {}
+        self.overdue_due_at = 0
         self.placement_due_at = 0
         self.waiting_measured_at = 0
         self.short_task_demand = 0.0
--- a/packages/core/src/skylarklug/scheduler/waiting.py
+++ b/packages/core/src/skylarklug/scheduler/waiting.py
@@ -20,6 +20,8 @@
 INTERFERENCE = "interference"
 # What is free is kept for short tasks.
 RESERVE = "reserve"
+# Room on a worker is kept free for it until it fits.
+RESERVATION = "reservation"
 # It may have crashed a worker: that is not committed yet, or no other worker
 # with room can be kept free for it now.
 TRIAL = "trial"
@@ -37,6 +39,7 @@
     RESOURCES,
     INTERFERENCE,
     RESERVE,
+    RESERVATION,
     TRIAL,
     QUARANTINE,
 )
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -365,6 +365,7 @@
             task.confirmed_at = state.now
             task.running_since = state.now
             task.adopted = True
+            task.idle_before_ms = 0
             task.listed_at = 0
             task.held = False
             if not leader.settled:
