Count crashes under a long-running task only until a run outlasts them

Callers may see the job of a long-running task fail although nothing is wrong with it: over its life, workers crash under it for causes of their own.

Cause: three crashes within ten seconds of a start, or five within a minute, give a task up, however many of its runs lasted in between; only a run of a minute cleared the record. The platform wants such tasks restarted however they end.

Change: a run of a long-running task that has ended while its worker goes on removes the records of crashes that it has outlasted. A task whose runs crash their workers one after the other is given up as before (test_crash_records, test_crash_evidence).

The test that guards against it now lets the run between two crashes last longer than those before: a run that ends at once tells nothing, and the tests above ask that a task is given up that crashes worker after worker three seconds after each start.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -7,7 +7,9 @@
 A run that was lost soon after its start counts against its task. The next run
 of that task is a trial: nothing else starts on its worker until the run has
 outlasted the time in which it could have been the cause. A task whose runs keep
-crashing workers is given up.
+crashing workers is given up. Over the life of a long-running task, workers also
+crash for other causes, so its crashes count only until a run has outlasted
+them.
 
 Only the end of a worker's process under a run that the worker had confirmed is
 a reason to give a task up. A worker that is silent may run on, and one that
@@ -72,13 +74,11 @@
 def is_exhausted(task) -> bool:
     """Returns whether a task has crashed too many workers to start again."""
     proofs = [crash for crash in task.crashes.values() if _is_proof(crash)]
-    if len(proofs) >= MAX_LATE_CRASHES:
-        return True
     recent = [c for c in proofs if c.survived_ms < MAX_CRASH_AGE_MS]
-    if len(recent) >= MAX_CRASHES:
-        return True
     prompt = [crash for crash in recent if _is_prompt(crash)]
-    return len(prompt) >= MAX_TRIAL_CRASHES
+    if len(prompt) >= MAX_TRIAL_CRASHES or len(recent) >= MAX_CRASHES:
+        return True
+    return len(proofs) >= MAX_LATE_CRASHES
 
 
 def restart_delay_ms(task) -> int:
@@ -292,6 +292,25 @@
     return [_changed_job(task)]
 
 
+def forget_outlasted(task, ran_ms: int) -> list:
+    """Removes the crash records that a run has outlasted, if the task lasts.
+
+    Called when a run has ended and its worker goes on.
+
+    Returns:
+        The jobs whose rows must be saved.
+    """
+    if not task.step.runs_until_cancelled:
+        return []
+    outlasted = []
+    for attempt, crash in task.crashes.items():
+        if max(crash.survived_ms, crash.ended_ms, TRIAL_MS) < ran_ms:
+            outlasted.append(attempt)
+    for attempt in outlasted:
+        del task.crashes[attempt]
+    return [_changed_job(task)] if outlasted else []
+
+
 def _changed_job(task):
     job = task.job
     if task.crashes:
--- a/packages/core/src/skylarklug/scheduler/ends.py
+++ b/packages/core/src/skylarklug/scheduler/ends.py
@@ -1,5 +1,6 @@
 """Handles the ends of runs that workers report."""
 
+from skylarklug.scheduler import crashes
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import gangs
 from skylarklug.scheduler import interference
@@ -69,6 +70,10 @@
     if task is None:
         return _unsaved_job(leader, job)
     is_current = task.worker == worker.name and task.attempt == report.attempt
+    if is_current:
+        ran_ms = orders.ran_ms(task, state.now)
+        for changed in crashes.forget_outlasted(task, ran_ms):
+            jobs.mark_dirty(leader, changed)
     if report.checkpoint and (is_current or not task.worker):
         task.checkpoint = report.checkpoint
     if report.outcome == "done" and not task.step.runs_until_cancelled:
--- a/tests/scheduler/test_long_running_waits.py
+++ b/tests/scheduler/test_long_running_waits.py
@@ -154,6 +154,8 @@
             long_running.restart_worker(sim, long_running.worker_of(sim))
             long_running.run_until_started(sim)
             long_running.check_last_wait(sim)
+            # A run that outlasts the crashes shows that they are not its fault.
+            sim.run(2 * long_running.PAST_TRIAL_MS)
             long_running.fail_run(sim)
             long_running.run_until_started(sim)
             long_running.check_last_wait(sim)
