Find the eligible workers once for each placement pass

Each group of waiting tasks went through all workers to find those that may run it, in each pass, although that depends on the service and the label only.

Change: the list is made once for each pass, service and label, and again after the start of a task that keeps its worker free of others.

--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -49,10 +49,22 @@
 
 
 def _eligible_workers(state, task):
-    """Returns the workers that may run the task, even if they are full."""
+    """Returns the workers that may run the task, even if they are full.
+
+    The list is shared by the tasks of one pass and must not be changed.
+    """
     leader = state.leader
-    step = task.step
     service = jobs.service_of(state, task.job)
+    kind = (service, task.step.label)
+    found = leader.eligible_workers.get(kind)
+    if found is None:
+        found = _find_eligible_workers(state, service, task.step.label)
+        leader.eligible_workers[kind] = found
+    return found
+
+
+def _find_eligible_workers(state, service, label):
+    leader = state.leader
     enforced = capacity.is_enforced(state, service)
     found = []
     for worker in leader.workers.values():
@@ -75,7 +87,7 @@
             or state.now < worker.backoff_until
         ):
             continue
-        if step.label and step.label not in entry.labels:
+        if label and label not in entry.labels:
             continue
         if not enforced and not capacity.is_current(state, worker):
             continue
@@ -120,6 +132,7 @@
     leader = state.leader
     scoring.update_utilization(state)
     crashes.update_trials(state)
+    leader.eligible_workers = {}
     _place_overdue(state, effects)
     groups = sorted(
         leader.ready.values(), key=lambda group: _group_sort_key(state, group)
@@ -352,6 +365,9 @@
     if advice.is_needed(state, task.job):
         ticket = advice.ticket_for(state, task, worker)
     orders.start(state, effects, task, worker, attempt, ticket)
+    if crashes.is_suspect(task):
+        # Nothing else may start on that worker now.
+        state.leader.eligible_workers.clear()
 
 
 def _filter_by_rack(state, task, candidates):
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -401,6 +401,8 @@
         failed_searches: Kinds of waiting tasks that fitted nowhere, with the
             sequence number of that search.
         reservations: Reservations of workers, by the key of their task.
+        eligible_workers: Workers that may run the tasks of a service with a
+            label in the current placement pass, even if they are full.
         overdue_due_at: Earliest time at which overdue tasks are placed next.
         placement_due_at: Earliest time of the next placement pass.
         reserved_cpu_share: Share of all CPU that tasks reserve.
@@ -469,6 +471,7 @@
         self.change_sequence = 1
         self.failed_searches: dict[Any, Any] = {}
         self.reservations: dict[records.TaskKey, Any] = {}
+        self.eligible_workers: dict[tuple[str, str], list[Worker]] = {}
         self.overdue_due_at = 0
         self.placement_due_at = 0
         self.waiting_measured_at = 0
