Let reservations hold for gangs, many tasks at once and long batch work

- Eight steps that fit on no worker kept all others from being searched, and a task with a reservation from being started.
A step that finds no worker is now only searched again after a while, and reservations are looked at first.
- Tasks that fail at each start kept the reservations.
Those whose last run ended first now come first.
- Reservations were made one after another within a limit.
A task that has been idle for five seconds goes beyond it.
- Members of gangs got none.
A gang reserves for all of its members or for none.
- Batch tasks that take longer than the bound kept the room.
Those that can resume are stopped on the reserved worker after six seconds.
- Only a lack of CPU made a newer job's task give way; memory now counts too.
A task that fails at each start makes none give way, and a failure after a run that lasted starts the count of failures and of avoided workers anew.
- One task of a silent worker that fitted nowhere kept the others from getting reservations early.
- A failure that is reported late was taken for a run that had outlasted earlier crashes.

The simulation ended gangs that run until cancelled as done; they now stay.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -292,7 +292,7 @@
     return [_changed_job(task)]
 
 
-def forget_outlasted(task, ran_ms: int) -> list:
+def forget_outlasted(task) -> list:
     """Removes the crash records that a run has outlasted, if the task lasts.
 
     Called when a run has ended and its worker goes on.
@@ -304,7 +304,9 @@
         return []
     outlasted = []
     for attempt, crash in task.crashes.items():
-        if max(crash.survived_ms, crash.ended_ms, TRIAL_MS) < ran_ms:
+        # An end may be reported long after it.
+        lasted_ms = task.survived_ms()
+        if max(crash.survived_ms, crash.ended_ms, TRIAL_MS) < lasted_ms:
             outlasted.append(attempt)
     for attempt in outlasted:
         del task.crashes[attempt]
--- a/packages/core/src/skylarklug/scheduler/ends.py
+++ b/packages/core/src/skylarklug/scheduler/ends.py
@@ -7,6 +7,7 @@
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import orders
 from skylarklug.scheduler import records
+from skylarklug.scheduler import state as state_lib
 
 # If tasks of this many jobs fail on a worker with no success in between, the
 # worker is considered faulty rather than the jobs.
@@ -71,8 +72,7 @@
         return _unsaved_job(leader, job)
     is_current = task.worker == worker.name and task.attempt == report.attempt
     if is_current:
-        ran_ms = orders.ran_ms(task, state.now)
-        for changed in crashes.forget_outlasted(task, ran_ms):
+        for changed in crashes.forget_outlasted(task):
             jobs.mark_dirty(leader, changed)
     if report.checkpoint and (is_current or not task.worker):
         task.checkpoint = report.checkpoint
@@ -131,6 +131,14 @@
 def _handle_failed(state, effects, worker, task, report, is_current):
     job = task.job
     _record_failure(state, effects, worker, job)
+    if (
+        task.step.runs_until_cancelled
+        and is_current
+        and task.survived_ms() >= state_lib.LASTING_RUN_MS
+    ):
+        # It may fail at any time, which says nothing about the next start.
+        task.failures.clear()
+        task.avoided_workers.clear()
     task.avoided_workers.add(worker.name)
     if task.step.runs_until_cancelled or job.state in records.FINAL_STATES:
         if is_current:
--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -261,6 +261,7 @@
             task.waiting_since = _accepted_at(state, job, due)
             task.speed_wanted_since = task.waiting_since
             task.idle_since = task.waiting_since
+            task.last_run_at = task.waiting_since
             if job.started:
                 task.last_end = state_lib.UNKNOWN_END
             job.tasks[key] = task
@@ -334,6 +335,7 @@
             if since is not None:
                 task.waiting_since = since
                 task.idle_since = since
+                task.last_run_at = since
             enqueue(leader, task)
 
 
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -313,6 +313,8 @@
         jobs.remove_closed(state, job)
         return
     ended_at = state.now if since is None else since
+    if task.running_since:
+        task.last_run_at = ended_at
     if ran_ms(task, ended_at) >= state_lib.LASTING_RUN_MS:
         task.idle_since = ended_at
     task.status = state_lib.WAITING
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -34,12 +34,6 @@
 FULL_SEARCH_MS = 250
 # Minimum time between two searches for workers for the overdue tasks.
 OVERDUE_INTERVAL_MS = 50
-# A search for the overdue tasks ends after this many steps of which no task
-# found a worker.
-MAX_FAILED_STEPS = 8
-# An overdue task waits for room on a reliable worker until it has been idle for
-# this long. Then it starts wherever it fits.
-LAST_RESORT_MS = 6_000
 # Interval at which waiting tasks are counted by reason.
 MEASURE_INTERVAL_MS = 1_000
 # A long-running task that has been idle for this long is logged.
@@ -160,33 +154,61 @@
     if state.now < leader.overdue_due_at:
         return
     leader.overdue_due_at = state.now + OVERDUE_INTERVAL_MS
-    failed_steps = set()
+    gangs_done = set()
     for task in reservations.overdue_tasks(state):
         if not orders.may_start_more(leader):
             return
-        has_reservation = task.key in leader.reservations
-        if task.key[:3] in failed_steps and not has_reservation:
-            continue
         if not task.job.start_recorded:
             continue
+        step_key = task.key[:3]
+        if step_key in gangs_done:
+            continue
+        if task.key not in leader.reservations:
+            failed_at = leader.failed_reservations.get(step_key)
+            if failed_at is not None:
+                if state.now - failed_at < FULL_SEARCH_MS:
+                    continue
         may_start = _may_start(state, task)
         if not may_start and task.wait_reason != waiting.DELAYED:
             continue
         candidates = _permitted_workers(state, effects, task)
-        if may_start and _start_overdue(state, effects, task, candidates):
-            continue
-        if reservations.reserve(state, task, candidates):
-            task.wait_reason = waiting.RESERVATION
+        tasks = [task]
+        if task.step.gang:
+            tasks = gangs.members(task)
+            gangs_done.add(step_key)
+            if len(leader.ready[step_key]) < len(tasks):
+                continue
+        elif may_start and _start_overdue(state, effects, task, candidates):
             continue
-        if not reservations.is_limited(leader, task):
-            preemption.preempt_newer_for(state, effects, task, candidates)
-        failed_steps.add(task.key[:3])
-        if len(failed_steps) == MAX_FAILED_STEPS:
-            return
+        _reserve_workers(state, effects, tasks, candidates)
+    _forget_failed_reservations(state)
     for task in reservations.tasks_of_silent_workers(state):
         candidates = _permitted_workers(state, effects, task)
-        if not reservations.reserve(state, task, candidates):
-            return
+        reservations.reserve(state, task, candidates)
+
+
+def _reserve_workers(state, effects, tasks, candidates):
+    """Reserves workers for an overdue task, or for all members of its gang."""
+    first = tasks[0]
+    leader = state.leader
+    if not reservations.reserve_all(state, tasks, candidates):
+        leader.failed_reservations[first.key[:3]] = state.now
+        if not reservations.is_limited(state, tasks):
+            preemption.preempt_newer_for(state, effects, first, candidates)
+        return
+    for task in tasks:
+        task.wait_reason = waiting.RESERVATION
+        if restarts.is_last_resort(state, task):
+            name = leader.reservations[task.key].worker
+            worker = leader.workers[name]
+            preemption.suspend_for(state, effects, task, worker)
+
+
+def _forget_failed_reservations(state):
+    failed = state.leader.failed_reservations
+    for key, failed_at in list(failed.items()):
+        if state.now - failed_at >= FULL_SEARCH_MS:
+            del failed[key]
 
 
 def _start_overdue(state, effects, task, candidates):
@@ -196,7 +218,7 @@
         return False
     if (
         scoring.is_unreliable(state, worker, task)
-        and restarts.idle_ms(state, task) < LAST_RESORT_MS
+        and not restarts.is_last_resort(state, task)
         and not all(
             scoring.is_unreliable(state, other, task) for other in candidates
         )
--- a/packages/core/src/skylarklug/scheduler/preemption.py
+++ b/packages/core/src/skylarklug/scheduler/preemption.py
@@ -18,6 +18,8 @@
 # Minimum time between two preemptions. A stop takes up to 400 ms to free CPU,
 # so stops in closer succession would free more than the waiting tasks can use.
 MIN_INTERVAL_MS = 250
+# A task that has failed this often soon after its start preempts nothing.
+MAX_FAILURES = 3
 # Largest share of a step's tasks that may be unavailable after a preemption.
 MAX_UNAVAILABLE_SHARE = 0.25
 
@@ -41,6 +43,8 @@
         return
 
     def is_dispensable(other):
+        if not restarts.may_preempt(state, other):
+            return False
         return _unavailable_share(other) <= MAX_UNAVAILABLE_SHARE
 
     _preempt(state, effects, task, candidates, is_dispensable)
@@ -54,6 +58,8 @@
     """
     if state.now < state.leader.preemption_due_at:
         return
+    if len(task.failures) >= MAX_FAILURES:
+        return
 
     def is_newer(other):
         return other.job.spec.accepted_ms > task.job.spec.accepted_ms
@@ -61,6 +67,37 @@
     _preempt(state, effects, task, candidates, is_newer)
 
 
+def suspend_for(state, effects, task, worker) -> None:
+    """Stops batch tasks on a worker that can resume, to make room for a task.
+
+    Called for an overdue task that has a reservation of the worker, if what
+    runs there does not end in time.
+    """
+    missing = _missing_resources(worker, task)
+    if max(missing) <= 0:
+        return
+    victims = []
+    for other in worker.runs.values():
+        step = other.step
+        if other.status != state_lib.WORKING or step.gang:
+            continue
+        if step.checkpoints and not step.runs_until_cancelled:
+            victims.append(other)
+    victims.sort(key=lambda other: (-other.step.resources.cpu, other.key))
+    chosen = []
+    for other in victims:
+        if max(missing) <= 0:
+            break
+        freed = orders.counted_resources(other.step)
+        for index, amount in enumerate(freed):
+            missing[index] -= amount
+        chosen.append(other)
+    if max(missing) > 0:
+        return
+    for other in chosen:
+        orders.stop(state, effects, other, f"room for {task.key}")
+
+
 def _preempt(state, effects, task, candidates, allows):
     victim = _choose_victim(state, task, candidates, allows)
     if victim is None:
@@ -80,11 +117,11 @@
     priority = jobs.priority_of(state, task.job)
     for worker in candidates:
         missing = _missing_resources(worker, task)
-        if missing[0] <= 0:
-            # A stop in progress already frees enough CPU.
+        if max(missing) <= 0:
+            # A stop in progress already frees enough.
             return None
         for other in worker.runs.values():
-            if not _is_preemptible(state, other):
+            if not _is_preemptible(other):
                 continue
             pairs = zip(other.step.resources, missing, strict=True)
             if any(freed < needed for freed, needed in pairs):
@@ -121,14 +158,12 @@
     return missing
 
 
-def _is_preemptible(state, task):
+def _is_preemptible(task):
     step = task.step
     if not step.runs_until_cancelled or step.best_effort or step.gang:
         return False
     if task.status != state_lib.WORKING:
         return False
-    if not restarts.may_preempt(state, task):
-        return False
     return maintenance.allows_disruption(task)
 
 
--- a/packages/core/src/skylarklug/scheduler/reservations.py
+++ b/packages/core/src/skylarklug/scheduler/reservations.py
@@ -15,8 +15,8 @@
 from skylarklug.scheduler import scoring
 from skylarklug.scheduler import state as state_lib
 
-# Maximum share of the resources of all workers that reservations hold; there
-# is always room for one reservation.
+# Maximum share of the resources of all workers that reservations hold, unless a
+# task is urgent; there is always room for one reservation.
 MAX_RESERVED_SHARE = 0.1
 # Interval at which a reservation may move to a worker that is free sooner.
 REVIEW_INTERVAL_MS = 500
@@ -90,16 +90,27 @@
 
 
 def overdue_tasks(state) -> list:
-    """Returns the waiting tasks that are overdue, longest idle first."""
+    """Returns the waiting tasks that are overdue.
+
+    Those with a reservation come first, then those whose last run ended first,
+    so that tasks that fail at each start take turns with the others.
+    """
+    reservations = state.leader.reservations
     found = []
     for group in state.leader.ready.values():
         first = next(iter(group.values()))
-        if not first.step.runs_until_cancelled or first.step.gang:
+        if not first.step.runs_until_cancelled:
             continue
         for task in group.values():
             if restarts.is_overdue(state, task):
                 found.append(task)
-    found.sort(key=lambda task: (task.idle_since, task.key))
+    found.sort(
+        key=lambda task: (
+            task.key not in reservations,
+            task.last_run_at,
+            task.key,
+        )
+    )
     return found
 
 
@@ -129,17 +140,41 @@
     Returns:
         Whether there is a reservation for the task.
     """
+    return reserve_all(state, [task], candidates)
+
+
+def reserve_all(state, tasks, candidates) -> bool:
+    """Reserves room for all of the tasks of a step, or for none of them.
+
+    The arguments are those of `reserve`.
+    """
     leader = state.leader
-    current = leader.reservations.get(task.key)
-    if current is not None:
-        if state.now - current.reviewed_at < REVIEW_INTERVAL_MS:
-            return True
-        if _is_refused_only(state, task, current):
-            return True
-    release(leader, task.key)
-    share = _largest_share(leader, task)
-    if _is_beyond_limit(leader, share):
+    if all(_keeps_reservation(state, task) for task in tasks):
+        return True
+    for task in tasks:
+        release(leader, task.key)
+    if is_limited(state, tasks):
+        return False
+    for task in tasks:
+        if not _reserve_worker(state, task, candidates):
+            for other in tasks:
+                release(leader, other.key)
+            return False
+    return True
+
+
+def _keeps_reservation(state, task):
+    """Returns whether the reservation of a task need not be reviewed now."""
+    reservation = state.leader.reservations.get(task.key)
+    if reservation is None:
         return False
+    if state.now - reservation.reviewed_at < REVIEW_INTERVAL_MS:
+        return True
+    return _is_refused_only(state, task, reservation)
+
+
+def _reserve_worker(state, task, candidates):
+    leader = state.leader
     best = None
     for worker in candidates:
         if not _is_usable(worker):
@@ -155,7 +190,7 @@
         return False
     worker = best[1]
     leader.reservations[task.key] = Reservation(
-        task, worker.name, share, state.now
+        task, worker.name, _largest_share(leader, task), state.now
     )
     worker.reservations[task.key] = orders.counted_resources(task.step)
     return True
@@ -169,14 +204,14 @@
     return scoring.fits(worker, task.step, task.key)
 
 
-def is_limited(leader, task) -> bool:
-    """Returns whether the reservations leave no room for that of a task."""
-    return _is_beyond_limit(leader, _largest_share(leader, task))
-
-
-def _is_beyond_limit(leader, share):
+def is_limited(state, tasks) -> bool:
+    """Returns whether the limit leaves no room for reservations of tasks."""
+    leader = state.leader
+    if restarts.is_urgent(state, tasks[0]):
+        return False
     reserved = sum(other.share for other in leader.reservations.values())
-    return reserved > 0 and reserved + share > MAX_RESERVED_SHARE
+    added = len(tasks) * _largest_share(leader, tasks[0])
+    return reserved > 0 and reserved + added > MAX_RESERVED_SHARE
 
 
 def _largest_share(leader, task):
@@ -201,7 +236,7 @@
     themselves have ended.
     """
     limit = task.step.max_per_worker
-    if limit and scoring.count_tasks_of_step(worker, task) >= limit:
+    if limit and _count_step(worker, task) >= limit:
         return None
     if worker.has_unknown_run:
         return None
@@ -224,6 +259,17 @@
     return None
 
 
+def _count_step(worker, task):
+    """Returns how many tasks of a step a worker has or is reserved for."""
+    count = scoring.count_tasks_of_step(worker, task)
+    for key in worker.reservations:
+        if key[:3] != task.key[:3] or key == task.key:
+            continue
+        if key not in worker.runs:
+            count += 1
+    return count
+
+
 def _remaining_ms(state, task):
     """Returns when a run is expected to end, or None if it does not end."""
     if task.status == state_lib.STOPPING:
--- a/packages/core/src/skylarklug/scheduler/restarts.py
+++ b/packages/core/src/skylarklug/scheduler/restarts.py
@@ -17,6 +17,12 @@
 OVERDUE_MS = 3_000
 # The same for a task that has not run yet, on which nobody relies.
 FIRST_RUN_OVERDUE_MS = 30_000
+# Time without a run after which a task gets a reservation beyond their limit. A
+# short task ends within three seconds.
+URGENT_MS = 5_000
+# Time without a run after which batch tasks that can resume are stopped on the
+# reserved worker, and after which a task starts on workers that it avoids.
+LAST_RESORT_MS = 6_000
 # Longest delay before a start, whatever happened to the runs before.
 MAX_DELAY_MS = 2_000
 # Shortest time at work after which a run that follows another one may be
@@ -39,6 +45,16 @@
     return idle_ms(state, task) >= limit
 
 
+def is_urgent(state, task) -> bool:
+    """Returns whether a task may exceed the limit of reservations."""
+    return is_overdue(state, task) and idle_ms(state, task) >= URGENT_MS
+
+
+def is_last_resort(state, task) -> bool:
+    """Returns whether a task must start even if that costs other work."""
+    return is_overdue(state, task) and idle_ms(state, task) >= LAST_RESORT_MS
+
+
 def earliest_start(state, task, ended_at: int, delay_ms: int) -> int:
     """Returns when a task may start again after a run that ended.
 
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -67,6 +67,8 @@
             `LASTING_RUN_MS`.
         idle_before_ms: How long it had been idle when its current run started.
         last_end: How its latest run ended; empty if it has had none.
+        last_run_at: When its latest run ended, however short it was; when it
+            was accepted if it has had none.
         preemptions: How often it was stopped for short tasks.
         speed_wanted_since: Since when a best-effort task has waited for a
             worker that allows it its full speed: since its job was accepted or
@@ -92,6 +94,7 @@
         "job",
         "key",
         "last_end",
+        "last_run_at",
         "listed_at",
         "estimated_at",
         "missed_polls",
@@ -150,6 +153,7 @@
         self.idle_since = 0
         self.idle_before_ms = 0
         self.last_end = ""
+        self.last_run_at = 0
         self.preemptions = 0
         self.wait_reason = ""
         self.speed_wanted_since = 0
@@ -404,6 +408,8 @@
         eligible_workers: Workers that may run the tasks of a service with a
             label in the current placement pass, even if they are full.
         overdue_due_at: Earliest time at which overdue tasks are placed next.
+        failed_reservations: When a step's overdue tasks last found neither a
+            worker nor one to reserve, by (job, occurrence, step).
         placement_due_at: Earliest time of the next placement pass.
         reserved_cpu_share: Share of all CPU that tasks reserve.
         short_task_demand: Moving average of the share of all CPU that short
@@ -473,6 +479,7 @@
         self.reservations: dict[records.TaskKey, Any] = {}
         self.eligible_workers: dict[tuple[str, str], list[Worker]] = {}
         self.overdue_due_at = 0
+        self.failed_reservations: dict[tuple, int] = {}
         self.placement_due_at = 0
         self.waiting_measured_at = 0
         self.short_task_demand = 0.0
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -1106,6 +1106,9 @@
             self.after(GANG_TIMEOUT_MS, give_up)
             return
 
+        if self.runs_until_cancelled(key):
+            return
+
         def finish():
             for member, _, _ in members:
                 member.expire()
