Reserve the room of a task that gives way to an older one

Cause: an overdue task for which one of a newer job was stopped got its reservation only at a later search.

--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -191,10 +191,13 @@
     """Reserves workers for an overdue task, or for all members of its gang."""
     first = tasks[0]
     leader = state.leader
-    if not reservations.reserve_all(state, tasks, candidates):
+    reserved = reservations.reserve_all(state, tasks, candidates)
+    if not reserved and not reservations.is_limited(state, tasks):
+        if preemption.preempt_newer_for(state, effects, first, candidates):
+            # What is being stopped counts as free.
+            reserved = reservations.reserve_all(state, tasks, candidates)
+    if not reserved:
         leader.failed_reservations[first.key[:3]] = state.now
-        if not reservations.is_limited(state, tasks):
-            preemption.preempt_newer_for(state, effects, first, candidates)
         return
     for task in tasks:
         task.wait_reason = waiting.RESERVATION
--- a/packages/core/src/skylarklug/scheduler/preemption.py
+++ b/packages/core/src/skylarklug/scheduler/preemption.py
@@ -50,21 +50,26 @@
     _preempt(state, effects, task, candidates, is_dispensable)
 
 
-def preempt_newer_for(state, effects, task, candidates) -> None:
+def preempt_newer_for(state, effects, task, candidates) -> bool:
     """Stops a task of a newer job if that frees enough for an overdue task.
 
     Where long-running tasks take up all workers for good, those of the oldest
     jobs run. The arguments are those of `preempt_for`.
+
+    Returns:
+        Whether a task was stopped.
     """
     if state.now < state.leader.preemption_due_at:
-        return
+        return False
     if len(task.failures) >= MAX_FAILURES:
-        return
+        return False
 
     def is_newer(other):
+        if state.now - other.running_since < restarts.MIN_RUN_MS:
+            return False
         return other.job.spec.accepted_ms > task.job.spec.accepted_ms
 
-    _preempt(state, effects, task, candidates, is_newer)
+    return _preempt(state, effects, task, candidates, is_newer)
 
 
 def suspend_for(state, effects, task, worker) -> None:
@@ -101,10 +106,11 @@
 def _preempt(state, effects, task, candidates, allows):
     victim = _choose_victim(state, task, candidates, allows)
     if victim is None:
-        return
+        return False
     state.leader.preemption_due_at = state.now + MIN_INTERVAL_MS
     victim.preemptions += 1
     orders.stop(state, effects, victim, f"room for {task.key}")
+    return True
 
 
 def _choose_victim(state, task, candidates, allows):
