Keep failed searches of best-effort tasks by request

Cause: a kind of waiting tasks had one failed search. After the change of any worker a group with a larger request replaced that of a smaller one, so that all but one group of a kind searched all workers in each pass. Best-effort steps with a label, a limit per worker or avoided workers always searched all of them.

Change: a kind of best-effort tasks keeps a failed search for each request, and label, limit and avoided workers are part of the kind. Kinds of short tasks keep the latest one only, as before: with one for each request they would find a worker that becomes eligible without a change up to 250 ms later.

The new tests fail without the change.

--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -212,11 +212,10 @@
     """Starts what fits of a group, unless a smaller task has just failed."""
     leader = state.leader
     kind = _equivalence_class(state, task)
-    failure = leader.failed_searches.get(kind)
+    need = task.step.resources
+    failure = _latest_failure(leader, kind, need)
     since = 0
-    if failure is not None and _needs_at_least(
-        task.step.resources, failure.need
-    ):
+    if failure is not None:
         since = failure.sequence
         task.wait_reason = failure.reason
         if since == leader.change_sequence:
@@ -225,45 +224,69 @@
     if placed or kind is None:
         return
     searched_at = failure.full_search_at if since else state.now
-    leader.failed_searches[kind] = FailedSearch(
-        task.step.resources,
-        leader.change_sequence,
-        searched_at,
-        task.wait_reason,
+    failures = leader.failed_searches.setdefault(kind, {})
+    if not task.step.best_effort:
+        # So all but the largest of them search all workers in each pass, and
+        # find those that become eligible without a change.
+        failures.clear()
+    failures[need] = FailedSearch(
+        need, leader.change_sequence, searched_at, task.wait_reason
     )
 
 
+def _latest_failure(leader, kind, need):
+    """Returns the latest failed search for a smaller or equal task, or None."""
+    latest = None
+    for failure in leader.failed_searches.get(kind, {}).values():
+        if latest is not None and failure.sequence <= latest.sequence:
+            continue
+        if _needs_at_least(need, failure.need):
+            latest = failure
+    return latest
+
+
 def _forget_old_failures(state):
-    failed_searches = state.leader.failed_searches
-    for kind, failure in list(failed_searches.items()):
-        if state.now - failure.full_search_at >= FULL_SEARCH_MS:
-            del failed_searches[kind]
+    for kind, failures in list(state.leader.failed_searches.items()):
+        for need, failure in list(failures.items()):
+            if state.now - failure.full_search_at >= FULL_SEARCH_MS:
+                del failures[need]
+        if not failures:
+            del state.leader.failed_searches[kind]
 
 
 def _equivalence_class(state, task):
     """Returns a key shared by tasks that differ only in requested resources.
 
     Once a task finds no worker, larger tasks of the same class only search
-    workers that change afterwards. Returns None for a task with further
-    placement constraints.
+    workers that change afterwards. Returns None for a task whose workers also
+    depend on something else, such as where the other tasks of its job run.
     """
     step = task.step
-    if (
-        step.runs_until_cancelled
-        or step.label
-        or step.max_per_worker
-        or step.same_rack
-    ):
-        return None
-    if task.avoided_workers or crashes.is_suspect(task):
+    if step.runs_until_cancelled or step.same_rack:
         return None
-    if advice.is_needed(state, task.job):
+    if crashes.is_suspect(task) or advice.is_needed(state, task.job):
         return None
     service = jobs.service_of(state, task.job)
     if not step.best_effort:
+        if step.label or step.max_per_worker or task.avoided_workers:
+            return None
         return (service, scoring.is_expired(state, task))
-    waited = state.now - task.speed_wanted_since >= scoring.SPEED_WAIT_MS
-    return (service, step.image, waited, scoring.is_starved(state, task))
+    avoided = None
+    if task.avoided_workers:
+        waited_ms = state.now - task.waiting_since
+        avoided = (
+            frozenset(task.avoided_workers),
+            waited_ms < scoring.AVOID_MS,
+        )
+    return (
+        service,
+        step.label,
+        task.key[:3] if step.max_per_worker else None,
+        avoided,
+        step.image,
+        state.now - task.speed_wanted_since >= scoring.SPEED_WAIT_MS,
+        scoring.is_starved(state, task),
+    )
 
 
 def _needs_at_least(need, other):
--- /dev/null
+++ b/tests/scheduler/test_placement_passes.py
@@ -0,0 +1,97 @@
+"""The cost of placement passes in searches and scored workers, not in time."""
+
+import pytest
+import scheduler_fakes as fakes
+
+from skylarklug.scheduler import placement
+from skylarklug.scheduler import scoring
+
+
+def count_scored(state):
+    """Returns the number of workers of each search of one placement pass."""
+    scored = []
+
+    class CountedSearch(scoring.Search):
+        def __init__(self, state, task, candidates):
+            scored.append(len(candidates))
+            super().__init__(state, task, candidates)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(scoring, "Search", CountedSearch)
+        placement.place(state, [])
+    return scored
+
+
+def best_effort_step(memory_mb, image="b", **fields):
+    return fakes.step(
+        cpu=500, memory_mb=memory_mb, best_effort=True, image=image, **fields
+    )
+
+
+class TestWaitingGroups:
+    """A pass only looks at what has changed since the last one."""
+
+    def wait_for_room(self, deployment, steps):
+        sim = deployment(workers=4)
+        for worker in sim.workers.values():
+            worker.run_ms = 60_000
+        sim.submit(1, fakes.step(200, cpu=1_000, memory_mb=3_000))
+        sim.run(1_000)
+        for number, step in enumerate(steps, 2):
+            sim.submit(number, step)
+        sim.run(2_000)
+        state = sim.leader().state
+        assert len(state.leader.ready) == len(steps) + 1
+        state.leader.failed_searches.clear()
+        return state
+
+    def assert_second_pass_is_free(self, state):
+        assert count_scored(state)
+        assert count_scored(state) == []
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"label": "a"},
+            {"max_per_worker": 1},
+            {"label": "a", "max_per_worker": 2},
+        ],
+    )
+    def test_constrained_steps(self, deployment, fields):
+        """Guards against constrained steps that are searched in each pass."""
+        steps = []
+        for number in range(20):
+            memory_mb = 60_000 - 100 * number
+            steps.append(best_effort_step(memory_mb, **fields))
+        state = self.wait_for_room(deployment, steps)
+        self.assert_second_pass_is_free(state)
+
+    @pytest.mark.parametrize("label", ("", "a"))
+    def test_only_changed_workers_are_scored(self, deployment, label):
+        """Guards against a failed search that replaces that of a smaller task,
+        which would then search all workers again."""
+        steps = []
+        for number in range(20):
+            memory_mb = 60_000 - 100 * number
+            image = f"b{number % 3}"
+            steps.append(best_effort_step(memory_mb, image=image, label=label))
+        state = self.wait_for_room(deployment, steps)
+        assert count_scored(state)
+        leader = state.leader
+        next(iter(leader.workers.values())).record_change(leader)
+        assert max(count_scored(state)) == 1
+
+    def test_smaller_task_starts_beside_larger_ones(self, deployment):
+        """Guards against a larger task whose failure holds for a smaller."""
+        sim = deployment(workers=4)
+        for worker in sim.workers.values():
+            worker.run_ms = 60_000
+        sim.submit(1, fakes.step(4, cpu=1_000, memory_mb=50_000))
+        sim.submit(2, best_effort_step(9_000, label="a"))
+        sim.submit(3, best_effort_step(8_000, label="a"))
+        sim.run(1_000)
+        sim.submit(4, best_effort_step(1_000, label="a"))
+        sim.run(100)
+        assert len(sim.running(4)) == 1
+        assert not sim.running(2)
+        assert not sim.running(3)
