Compute what a best-effort image may use by serving image

Cause: for each worker and best-effort image, each serving task there looked up the coefficients of all best-effort tasks anew. They depend on its image only, and took most of the time of a pass.

Change: the highest base load among the serving tasks of an image stands for all of them. The result is the same to the last bit.

--- a/packages/core/src/skylarklug/scheduler/interference.py
+++ b/packages/core/src/skylarklug/scheduler/interference.py
@@ -102,26 +102,34 @@
 
 def _allowed_share(state, worker, image):
     """Returns the share of a worker's CPU that a best-effort image may use."""
-    best_effort_tasks = _best_effort_tasks(worker)
-    allowed = 1.0
+    peaks = {}
     for task in worker.runs.values():
         if not task.step.target_ms:
             continue
         serving = task.step.image
-        remaining = TARGET_LOAD - interference_model.peak_base_load(
+        peak = interference_model.peak_base_load(
             state, task, PLACEMENT_HORIZON_MS
         )
+        if serving not in peaks or peak > peaks[serving]:
+            peaks[serving] = peak
+    cpu_shares = []
+    if peaks:
+        for other in _best_effort_tasks(worker):
+            cpu_shares.append((other.step.image, _cpu_share(worker, other)))
+    allowed = 1.0
+    for serving, peak in peaks.items():
+        remaining = TARGET_LOAD - peak
         coefficient = max(
             1e-3, _conservative_coefficient(state, serving, image)
         )
-        for other in best_effort_tasks:
+        for other_image, cpu_share in cpu_shares:
             # `_plan` slows tasks with a higher coefficient first, so only the
             # others reduce what this image may use.
             other_coefficient = _conservative_coefficient(
-                state, serving, other.step.image
+                state, serving, other_image
             )
             if other_coefficient <= coefficient:
-                remaining -= other_coefficient * _cpu_share(worker, other)
+                remaining -= other_coefficient * cpu_share
         allowed = min(allowed, max(0.0, remaining) / coefficient)
     return allowed
 
