--- /dev/null
+++ b/tests/scheduler/test_idle_review.py
@@ -0,0 +1,272 @@
+"""Waits of long-running tasks for which reservations do not suffice.
+
+The bound is that of `test_long_running_waits`: a long-running task runs again
+within `takeovers.LOST_MS` after its last run.
+"""
+
+import random
+
+import long_running
+import pytest
+import scheduler_fakes as fakes
+import takeovers
+
+FULL_FLEETS = pytest.mark.parametrize(
+    "prefix", ("/batch/", "/urgent/"), ids=("full", "urgent")
+)
+# Time after which a task that has never run is overdue, and some more.
+FIRST_RUN_MS = 32_000
+
+
+def lasting(count=1, **fields):
+    return fakes.step(
+        count, runs_until_cancelled=True, max_unavailable=0, **fields
+    )
+
+
+class TestTasksWithoutWorker:
+    @FULL_FLEETS
+    def test_they_keep_reservations_from_others(self, deployment, prefix):
+        """Guards against a task that gets no reservation because eight older
+        steps fit on no worker at all."""
+        sim = long_running.prepare(deployment, "", cpu=12_000)
+        for number in range(2, 10):
+            sim.submit(number, lasting(cpu=17_000))
+        sim.run(FIRST_RUN_MS)
+        long_running.keep_full(sim, random.Random(7), prefix)
+        sim.run(long_running.SHORT_RUN_MS[1])
+        long_running.fail_run(sim)
+        long_running.run_until_started(sim)
+        long_running.check(sim)
+
+    @FULL_FLEETS
+    def test_they_keep_others_from_using_reservations(self, deployment, prefix):
+        """Guards against a task that has a reservation and is not started,
+        because eight older steps that fit on no worker become overdue."""
+        sim = long_running.prepare(deployment, "", cpu=16_000)
+        long_running.keep_full(sim, random.Random(7), prefix)
+        for number in range(2, 10):
+            sim.submit(number, lasting(cpu=17_000))
+        sim.run(30_000 - 3_300)
+        long_running.fail_run(sim)
+        long_running.run_until_started(sim)
+        long_running.check(sim)
+
+
+class TestTasksThatAlwaysFail:
+    @FULL_FLEETS
+    @pytest.mark.parametrize("count", (1, 2, 4))
+    def test_they_keep_reservations_from_others(
+        self, deployment, prefix, count
+    ):
+        """Guards against a task that gets no reservation because those of tasks
+        that fail at each start are made anew."""
+        sim = long_running.prepare(deployment, prefix, cpu=12_000)
+        sim.submit(2, lasting(count, cpu=12_000))
+        for index in range(count):
+            sim.failing_tasks.add(fakes.first_key(2, index))
+        sim.run(FIRST_RUN_MS + 10_000)
+        long_running.fail_run(sim)
+        long_running.run_until_started(sim)
+        long_running.check(sim)
+
+
+class TestGang:
+    @FULL_FLEETS
+    def test_gang_waits_for_room(self, deployment, prefix):
+        """Guards against a gang that runs until cancelled and gets no
+        reservations after its runs have ended."""
+        sim = deployment(workers=5, configuration=long_running.CONFIGURATION)
+        sim.submit(1, lasting(2, cpu=12_000, gang=True))
+        sim.run(long_running.PAST_TRIAL_MS)
+        long_running.keep_full(sim, random.Random(7), prefix)
+        sim.run(2 * takeovers.LOST_MS)
+        long_running.check_waits_so_far(sim, count=2)
+
+
+class TestManyTasks:
+    @FULL_FLEETS
+    @pytest.mark.parametrize("count", (4, 5))
+    def test_tasks_wait_for_each_others_reservations(
+        self, deployment, prefix, count
+    ):
+        """Guards against tasks that fail at once and get one reservation after
+        another, where all of them fit beside each other."""
+        sim = long_running.prepare(
+            deployment, prefix, count=count, cpu=12_000, max_per_worker=1
+        )
+        for index in range(count):
+            long_running.fail_run(sim, fakes.first_key(1, index))
+        sim.run(takeovers.LOST_MS + 1_000)
+        long_running.check(sim, count=count)
+
+
+class TestLargeTask:
+    @FULL_FLEETS
+    def test_it_waits_for_small_reservations(self, deployment, prefix):
+        """Guards against a task above the limit of reservations that waits
+        while others below it hold one after another."""
+        sim = long_running.prepare(deployment, "", cpu=16_000)
+        sim.submit(2, lasting(6, cpu=8_000))
+        sim.run(long_running.PAST_TRIAL_MS)
+        long_running.keep_full(
+            sim, random.Random(7), prefix, ({"cpu": 4_000}, {"cpu": 8_000})
+        )
+        sim.run(long_running.SHORT_RUN_MS[1])
+        for index in range(6):
+            key = fakes.first_key(2, index)
+            sim.after(500 * index, lambda key=key: fail_if_running(sim, key))
+            sim.after(
+                500 * index + 5_000, lambda key=key: fail_if_running(sim, key)
+            )
+        sim.run(300)
+        long_running.fail_run(sim)
+        long_running.run_until_started(sim)
+        long_running.check(sim)
+
+
+def fail_if_running(sim, key):
+    if long_running.worker_of(sim, key) is not None:
+        long_running.fail_run(sim, key)
+
+
+class TestLongTasks:
+    @FULL_FLEETS
+    def test_task_waits_for_the_end_of_long_ones(self, deployment, prefix):
+        """Guards against a task that waits for batch tasks that take longer
+        than the platform allows, as nothing is stopped for it."""
+        sim = long_running.prepare(deployment, "", cpu=12_000)
+        for worker in sim.workers.values():
+            worker.run_ms = 30_000
+        for number in range(100, 140):
+            step = fakes.step(
+                4, cpu=4_000, estimate_ms=30_000, checkpoints=True
+            )
+            sim.submit(number, step, prefix=prefix)
+        sim.run(3_000)
+        long_running.fail_run(sim)
+        long_running.run_until_started(sim)
+        long_running.check(sim)
+
+
+class TestTasksThatHaveNeverRun:
+    def test_they_take_the_place_of_a_failed_one(self, deployment):
+        """Guards against a task that fails and loses its place for good to one
+        of a newer job that has never run."""
+        sim = deployment(workers=5)
+        sim.submit(1, lasting(cpu=16_000))
+        sim.run(long_running.PAST_TRIAL_MS)
+        sim.submit(2, lasting(5, cpu=16_000))
+        sim.run(FIRST_RUN_MS)
+        long_running.fail_run(sim)
+        long_running.run_until_started(sim)
+        long_running.check(sim)
+
+
+class TestMemory:
+    @pytest.mark.parametrize(
+        "need",
+        ({"cpu": 15_000}, {"cpu": 1_000, "memory_mb": 60_000}),
+        ids=("cpu", "memory"),
+    )
+    def test_lack_of_memory_alone_preempts_nothing(self, deployment, need):
+        """Guards against a task of the oldest job that never runs again because
+        newer ones have the memory, but not the CPU, of all workers."""
+        sim = deployment(workers=5)
+        step = fakes.step(runs_until_cancelled=True, **need)
+        sim.submit(1, step)
+        sim.run(long_running.PAST_TRIAL_MS)
+        sim.submit(2, step._replace(count=4))
+        sim.run(2 * long_running.PAST_TRIAL_MS)
+        assert len(sim.running(2)) == 4
+        takeovers.remove_worker(sim, long_running.worker_of(sim), listed=False)
+        long_running.run_until_started(sim, limit_ms=15_000)
+        assert sim.running(1)
+
+
+class TestSilentWorker:
+    @FULL_FLEETS
+    def test_task_that_fits_nowhere_keeps_reservations_from_others(
+        self, deployment, prefix
+    ):
+        """Guards against tasks of a silent worker that get no reservations
+        before their runs count as lost, as one beside them fits nowhere."""
+        sim = deployment(workers=5, configuration=long_running.CONFIGURATION)
+        long_running.note_lapses(sim)
+        sim.workers["w0"].labels = ("only", "r1")
+        sim.publish_workers()
+        sim.run(2_000)
+        sim.submit(2, lasting(cpu=1_000, label="only"))
+        sim.run(1_000)
+        for name, worker in sim.workers.items():
+            if name != "w0":
+                worker.draining = True
+        sim.publish_workers()
+        sim.run(1_000)
+        sim.submit(1, lasting(cpu=14_000))
+        sim.run(1_000)
+        for worker in sim.workers.values():
+            worker.draining = False
+        sim.publish_workers()
+        sim.run(2_000)
+        assert sim.running(1)[0][1] == sim.running(2)[0][1] == "w0"
+        long_running.keep_full(sim, random.Random(7), prefix)
+        sim.run(long_running.SHORT_RUN_MS[1])
+        takeovers.remove_worker(sim, sim.workers["w0"], listed=False)
+        long_running.run_until_started(sim)
+        long_running.check(sim)
+
+
+class TestTakeover:
+    @FULL_FLEETS
+    @pytest.mark.parametrize("how", ("stop",))
+    def test_lost_task_waits_for_the_new_leader_and_room(
+        self, deployment, prefix, how
+    ):
+        """Guards against a task that may run unseen, gets no reservation until
+        that is ruled out, and waits for room only then."""
+        sim = long_running.prepare(deployment, prefix, cpu=12_000)
+        worker = long_running.worker_of(sim)
+        granted_at = takeovers.remove_worker(sim, worker, listed=False)
+        lost_at = sim.now
+        takeovers.end_leader(sim, how)
+        long_running.run_until_started(
+            sim, limit_ms=takeovers.LOST_MS + granted_at - lost_at + 20_000
+        )
+        long_running.check(sim)
+
+
+class TestTasksThatCrashWorkers:
+    @pytest.mark.parametrize("poll_delay_ms", (0, 700))
+    def test_late_report_of_a_failure_clears_the_crashes(
+        self, deployment, poll_delay_ms
+    ):
+        """Guards against a task that crashes worker after worker, because a
+        failure in between is taken for a run that has outlasted the crashes."""
+        sim = deployment(workers=6)
+        for worker in sim.workers.values():
+            worker.poll_delay_ms = poll_delay_ms
+        key = fakes.first_key(1)
+        original = sim.on_StartRun
+        count = 0
+
+        def start(node, effect):
+            nonlocal count
+            worker = sim.workers.get(effect.worker)
+            if effect.key == key and worker is not None:
+                count += 1
+
+                def spoil(number=count):
+                    fatal = number % 2
+                    sim.fatal_tasks.discard(key)
+                    sim.failing_tasks.discard(key)
+                    (sim.fatal_tasks if fatal else sim.failing_tasks).add(key)
+
+                sim.after(fakes.LINK_DELAY_MS, spoil)
+            original(node, effect)
+
+        sim.on_StartRun = start
+        sim.submit(1, lasting())
+        sim.run(60_000)
+        crashes = [row for row in sim.history if row[4] == "crashed"]
+        assert len(crashes) <= 3, crashes
