--- a/tests/scheduler/test_idle_review.py
+++ b/tests/scheduler/test_idle_review.py
@@ -5,12 +5,19 @@
 """
 
 import random
+import time
 
 import long_running
 import pytest
 import scheduler_fakes as fakes
 import takeovers
 
+from skylarklug.scheduler import orders
+from skylarklug.scheduler import placement
+from skylarklug.scheduler import records
+from skylarklug.scheduler import reservations
+from skylarklug.scheduler import state as state_lib
+
 FULL_FLEETS = pytest.mark.parametrize(
     "prefix", ("/batch/", "/urgent/"), ids=("full", "urgent")
 )
@@ -70,6 +77,24 @@
         long_running.run_until_started(sim)
         long_running.check(sim)
 
+    def test_they_preempt_sound_ones(self, deployment):
+        """Guards against tasks of a newer job that are stopped again and again
+        for one that fails at each start."""
+        sim = deployment(workers=5)
+        sim.failing_tasks.add(long_running.KEY)
+        sim.submit(1, lasting(cpu=12_000))
+        sim.run(long_running.PAST_TRIAL_MS)
+        step = fakes.step(5, cpu=16_000, runs_until_cancelled=True)
+        sim.submit(2, step)
+        sim.run(60_000)
+        late = []
+        for index in range(5):
+            key = fakes.first_key(2, index)
+            for wait in long_running.find_waits(sim, key):
+                if wait[0] > takeovers.LOST_MS:
+                    late.append((key, wait))
+        assert not late
+
 
 class TestGang:
     @FULL_FLEETS
@@ -184,6 +209,81 @@
         assert sim.running(1)
 
 
+class TestSmallTasks:
+    def test_none_of_them_alone_makes_room(self, deployment):
+        """Guards against a task of the oldest job that never runs again because
+        each task of newer jobs on all workers is smaller than it."""
+        sim = deployment(workers=5)
+        sim.submit(1, fakes.step(cpu=12_000, runs_until_cancelled=True))
+        sim.run(long_running.PAST_TRIAL_MS)
+        sim.submit(2, fakes.step(16, cpu=4_000, runs_until_cancelled=True))
+        sim.run(2 * long_running.PAST_TRIAL_MS)
+        takeovers.remove_worker(sim, long_running.worker_of(sim), listed=False)
+        long_running.run_until_started(sim, limit_ms=15_000)
+        assert sim.running(1)
+
+
+class TestLostWorkers:
+    @FULL_FLEETS
+    @pytest.mark.parametrize("lost", (2, 4, 6))
+    def test_their_tasks_wait_for_each_other(self, deployment, prefix, lost):
+        """Guards against tasks of workers that are gone at once, most of which
+        get a reservation only once those of others have been used."""
+        sim = deployment(workers=12, configuration=long_running.CONFIGURATION)
+        long_running.note_lapses(sim)
+        sim.submit(1, lasting(lost, cpu=12_000, max_per_worker=1))
+        sim.run(long_running.PAST_TRIAL_MS)
+        long_running.keep_full(sim, random.Random(7), prefix)
+        sim.run(long_running.SHORT_RUN_MS[1])
+        for index in range(lost):
+            key = fakes.first_key(1, index)
+            worker = long_running.worker_of(sim, key)
+            takeovers.remove_worker(sim, worker, listed=False)
+        sim.run(takeovers.LOST_MS + 1_000)
+        long_running.check(sim, count=lost)
+
+    @FULL_FLEETS
+    def test_their_tasks_wait_for_each_other_on_a_large_fleet(
+        self, deployment, prefix
+    ):
+        """Guards against the same where each task is a small share of all."""
+        sim = deployment(workers=40, configuration=long_running.CONFIGURATION)
+        long_running.note_lapses(sim)
+        sim.submit(1, lasting(12, cpu=12_000, max_per_worker=1))
+        sim.run(long_running.PAST_TRIAL_MS)
+        long_running.keep_full(sim, random.Random(7), prefix)
+        sim.run(2 * long_running.SHORT_RUN_MS[1])
+        for index in range(12):
+            key = fakes.first_key(1, index)
+            worker = long_running.worker_of(sim, key)
+            takeovers.remove_worker(sim, worker, listed=False)
+        sim.run(takeovers.LOST_MS + 1_000)
+        long_running.check(sim, count=12)
+
+
+class TestLinks:
+    @FULL_FLEETS
+    def test_failed_polls_remove_reservations(self, deployment, prefix):
+        """Guards against a task that waits because each failed poll of a worker
+        gives away what was kept free on it."""
+        sim = long_running.prepare(deployment, prefix, cpu=16_000)
+        rng = random.Random(3)
+
+        def cut(worker):
+            sim.silent_workers.add(worker.name)
+            sim.after(100, lambda: sim.silent_workers.discard(worker.name))
+            sim.after(rng.randint(600, 1_400), lambda: cut(worker))
+
+        for worker in list(sim.workers.values()):
+            cut(worker)
+        sim.run(1_000)
+        while long_running.worker_of(sim) is None:
+            sim.run(10)
+        long_running.fail_run(sim)
+        long_running.run_until_started(sim)
+        long_running.check(sim)
+
+
 class TestSilentWorker:
     @FULL_FLEETS
     def test_task_that_fits_nowhere_keeps_reservations_from_others(
@@ -219,7 +319,7 @@
 
 class TestTakeover:
     @FULL_FLEETS
-    @pytest.mark.parametrize("how", ("stop",))
+    @pytest.mark.parametrize("how", ("stop", "kill"))
     def test_lost_task_waits_for_the_new_leader_and_room(
         self, deployment, prefix, how
     ):
@@ -227,13 +327,18 @@
         that is ruled out, and waits for room only then."""
         sim = long_running.prepare(deployment, prefix, cpu=12_000)
         worker = long_running.worker_of(sim)
-        granted_at = takeovers.remove_worker(sim, worker, listed=False)
-        lost_at = sim.now
+        takeovers.remove_worker(sim, worker, listed=False)
         takeovers.end_leader(sim, how)
-        long_running.run_until_started(
-            sim, limit_ms=takeovers.LOST_MS + granted_at - lost_at + 20_000
-        )
-        long_running.check(sim)
+        limit_ms = takeovers.LOST_MS
+        if how == "kill":
+            # Nobody may start a task in this time.
+            limit_ms += (
+                takeovers.DETECTION_MS
+                + takeovers.FORMER_PERMISSION_MS
+                + takeovers.STARTUP_MS
+            )
+        long_running.run_until_started(sim, limit_ms=limit_ms)
+        long_running.check(sim, limit_ms=limit_ms)
 
 
 class TestTasksThatCrashWorkers:
@@ -270,3 +375,51 @@
         sim.run(60_000)
         crashes = [row for row in sim.history if row[4] == "crashed"]
         assert len(crashes) <= 3, crashes
+
+
+class TestLargeFleet:
+    WORKERS = 1_600
+    RUNS_PER_WORKER = 8
+
+    def fill(self, leader):
+        """Adds runs of short tasks until all workers are full."""
+        job = leader.jobs[fakes.job_id(1)]
+        step = fakes.step(cpu=2_000, estimate_ms=3_000)
+        number = 0
+        for worker in leader.workers.values():
+            worker.used = [0, 0, 0]
+            worker.runs = {}
+            for _ in range(self.RUNS_PER_WORKER):
+                number += 1
+                key = records.TaskKey(fakes.job_id(2), 0, 0, number)
+                run = state_lib.Task(job, key, step)
+                run.status = state_lib.WORKING
+                orders.reserve_resources(worker, run)
+
+    @pytest.mark.parametrize("count", (50, 200))
+    def test_review_of_reservations_takes_long(self, deployment, count):
+        """Guards against a leader that reviews reservations for longer than the
+        interval between two reviews, and does nothing else."""
+        sim = deployment(workers=self.WORKERS)
+        sim.submit(1, lasting(count, cpu=4_000))
+        sim.run(1_500)
+        state = sim.leader().state
+        leader = state.leader
+        self.fill(leader)
+        waiting = []
+        for task in leader.jobs[fakes.job_id(1)].tasks.values():
+            task.status = state_lib.WAITING
+            task.worker = ""
+            task.last_end = "failed"
+            task.idle_since = state.now - 4_000
+            waiting.append(task)
+        leader.eligible_workers = {}
+        candidates = placement._eligible_workers(state, waiting[0])
+        assert len(candidates) == self.WORKERS
+        began_at = time.process_time()
+        for task in waiting:
+            if not reservations.reserve(state, task, candidates):
+                break
+        used_ms = (time.process_time() - began_at) * 1_000
+        assert leader.reservations
+        assert used_ms < reservations.REVIEW_INTERVAL_MS
