--- a/tests/scheduler/test_idle_review.py
+++ b/tests/scheduler/test_idle_review.py
@@ -12,10 +12,12 @@
 import scheduler_fakes as fakes
 import takeovers
 
+from skylarklug.scheduler import events
 from skylarklug.scheduler import orders
 from skylarklug.scheduler import placement
 from skylarklug.scheduler import records
 from skylarklug.scheduler import reservations
+from skylarklug.scheduler import scoring
 from skylarklug.scheduler import state as state_lib
 
 FULL_FLEETS = pytest.mark.parametrize(
@@ -376,6 +378,92 @@
         crashes = [row for row in sim.history if row[4] == "crashed"]
         assert len(crashes) <= 3, crashes
 
+    @pytest.mark.parametrize("seed", (0, 3, 4))
+    def test_failures_in_between_clear_the_crashes(self, deployment, seed):
+        """Guards against a task that crashes worker after worker, because of
+        its other runs, which fail, some last longer than those that crash."""
+        rng = random.Random(seed)
+        sim = deployment(workers=6)
+        key = fakes.first_key(1)
+        original = sim.on_StartRun
+
+        def start(node, effect):
+            worker = sim.workers.get(effect.worker)
+            ends_in_ms = rng.randint(100, 6_000)
+
+            def arrive():
+                run = worker.runs.get(key)
+
+                def end():
+                    if run is None or worker.runs.get(key) is not run:
+                        return
+                    if rng.random() < 0.5:
+                        worker.end(key, "failed")
+                    else:
+                        sim.crash_worker(worker)
+
+                sim.after(ends_in_ms, end)
+
+            if effect.key == key and worker is not None:
+                sim.after(fakes.LINK_DELAY_MS + 1, arrive)
+            original(node, effect)
+
+        sim.on_StartRun = start
+        sim.submit(1, fakes.step(runs_until_cancelled=True))
+        sim.run(120_000)
+        crashes = [row for row in sim.history if row[4] == "crashed"]
+        # The platform allows two further starts after three crashes.
+        assert len(crashes) <= 5, crashes
+
+    @FULL_FLEETS
+    @pytest.mark.parametrize("count", (1, 2))
+    def test_trials_wait_for_room(self, deployment, prefix, count):
+        """Guards against a task whose next run is a trial, and that waits for a
+        worker that can be kept free for it."""
+        sim = long_running.prepare(
+            deployment, prefix, count=count, cpu=8_000, max_per_worker=1
+        )
+        for index in range(count):
+            key = fakes.first_key(1, index)
+
+            def crash(worker, key=key):
+                sim.after(10, lambda: sim.crash_worker(worker))
+
+            long_running.on_starts(sim, key, 1, crash)
+            long_running.fail_run(sim, key)
+        sim.run(2 * takeovers.LOST_MS)
+        long_running.check(sim, count=count)
+
+
+class TestAdvice:
+    @FULL_FLEETS
+    @pytest.mark.parametrize("allowed", (("w1",), ("w1", "w3")))
+    @pytest.mark.parametrize("delay_ms", (0, 100, 200, 300, 400))
+    def test_expired_tickets_remove_reservations(
+        self, deployment, prefix, allowed, delay_ms
+    ):
+        """Guards against a task that waits because what is kept free for it is
+        given away while the advice on its workers is renewed."""
+        sim = deployment(workers=5)
+        advised = fakes.QUEUE._replace(
+            name="advised",
+            prefix="/advised/",
+            advice=records.Advice(10, 2, 2_000),
+        )
+        queues = {**long_running.CONFIGURATION.queues, "advised": advised}
+        cfg = long_running.CONFIGURATION._replace(version=2, queues=queues)
+        for node in sim.nodes.values():
+            sim.dispatch(node, events.ConfigurationRead(sim.now, cfg))
+        sim.offered_tickets = {name: "t" for name in allowed}
+        sim.submit(1, lasting(cpu=16_000), prefix="/advised/")
+        sim.run(long_running.PAST_TRIAL_MS)
+        assert sim.running(1)
+        long_running.keep_full(sim, random.Random(7), prefix)
+        sim.run(long_running.SHORT_RUN_MS[1] + delay_ms)
+        long_running.fail_run(sim)
+        long_running.run_until_started(sim)
+        long_running.check(sim)
+
 
 class TestLargeFleet:
     WORKERS = 1_600
@@ -396,10 +484,8 @@
                 run.status = state_lib.WORKING
                 orders.reserve_resources(worker, run)
 
-    @pytest.mark.parametrize("count", (50, 200))
-    def test_review_of_reservations_takes_long(self, deployment, count):
-        """Guards against a leader that reviews reservations for longer than the
-        interval between two reviews, and does nothing else."""
+    def prepare(self, deployment, count):
+        """Returns the state, tasks that are overdue, and their candidates."""
         sim = deployment(workers=self.WORKERS)
         sim.submit(1, lasting(count, cpu=4_000))
         sim.run(1_500)
@@ -416,10 +502,31 @@
         leader.eligible_workers = {}
         candidates = placement._eligible_workers(state, waiting[0])
         assert len(candidates) == self.WORKERS
+        return state, waiting, candidates
+
+    @pytest.mark.parametrize("count", (50, 200))
+    def test_review_of_reservations_takes_long(self, deployment, count):
+        """Guards against a leader that reviews reservations for longer than the
+        interval between two reviews, and does nothing else."""
+        state, waiting, candidates = self.prepare(deployment, count)
         began_at = time.process_time()
         for task in waiting:
             if not reservations.reserve(state, task, candidates):
                 break
         used_ms = (time.process_time() - began_at) * 1_000
-        assert leader.reservations
+        assert state.leader.reservations
         assert used_ms < reservations.REVIEW_INTERVAL_MS
+
+    @pytest.mark.parametrize("count", (50, 200))
+    def test_search_for_overdue_tasks_takes_long(self, deployment, count):
+        """Guards against a leader that searches for longer than the interval
+        between two searches, and does nothing else."""
+        state, waiting, candidates = self.prepare(deployment, count)
+        for task in waiting:
+            reservations.reserve(state, task, candidates)
+        assert len(state.leader.reservations) == count
+        began_at = time.process_time()
+        for task in waiting:
+            assert scoring.best_worker(state, task, candidates) is None
+        used_ms = (time.process_time() - began_at) * 1_000
+        assert used_ms < placement.OVERDUE_INTERVAL_MS
