Add failing tests of rejected starts and best-effort tasks

A reservation stays on a worker that rejects the task, and its CPU counts as used for best-effort tasks, which reserve none.

--- a/tests/scheduler/test_idle_review.py
+++ b/tests/scheduler/test_idle_review.py
@@ -435,6 +435,43 @@
         long_running.check(sim, count=count)
 
 
+class TestWorkerThatRejects:
+    @FULL_FLEETS
+    def test_task_returns_to_it_again_and_again(self, deployment, prefix):
+        """Guards against a task that waits on a full fleet because it keeps its
+        reservation on a worker that rejects each of its starts."""
+        sim = long_running.prepare(deployment, prefix, cpu=12_000)
+
+        def reject(worker):
+            worker.enforces_capacity = True
+            worker.has_room = lambda key: key != long_running.KEY
+
+        long_running.on_starts(sim, long_running.KEY, 1, reject)
+        long_running.fail_run(sim)
+        long_running.run_until_started(sim)
+        long_running.check(sim)
+
+
+class TestBestEffortTasks:
+    def test_reservations_keep_them_from_a_worker(self, deployment):
+        """Guards against best-effort tasks, which reserve no CPU, that start on
+        no worker where CPU is kept free, however long that takes."""
+        sim = deployment(workers=1)
+        (worker,) = sim.workers.values()
+        sim.submit(1, lasting(cpu=4_000))
+        sim.run(long_running.PAST_TRIAL_MS)
+        worker.run_ms = 30_000
+        sim.submit(2, fakes.step(12, cpu=2_000, estimate_ms=30_000))
+        sim.run(1_000)
+        long_running.fail_run(sim)
+        sim.run(4_000)
+        assert not sim.running(1)
+        worker.run_ms = 500
+        sim.submit(3, fakes.step(cpu=500, best_effort=True))
+        sim.run(takeovers.LOST_MS)
+        assert sim.state_of(3) == "done"
+
+
 class TestAdvice:
     @FULL_FLEETS
     @pytest.mark.parametrize("allowed", (("w1",), ("w1", "w3")))
