--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -306,7 +306,8 @@
     for attempt, crash in task.crashes.items():
         # An end may be reported long after it.
         lasted_ms = task.survived_ms()
-        if max(crash.survived_ms, crash.ended_ms, TRIAL_MS) < lasted_ms:
+        crashed_ms = max(crash.survived_ms, crash.ended_ms, MAX_CRASH_AGE_MS)
+        if crashed_ms <= lasted_ms:
             outlasted.append(attempt)
     for attempt in outlasted:
         del task.crashes[attempt]
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -154,6 +154,7 @@
     if state.now < leader.overdue_due_at:
         return
     leader.overdue_due_at = state.now + OVERDUE_INTERVAL_MS
+    leader.reviews_left = reservations.MAX_REVIEWS
     gangs_done = set()
     for task in reservations.overdue_tasks(state):
         if not orders.may_start_more(leader):
@@ -164,6 +165,8 @@
         if step_key in gangs_done:
             continue
         if task.key not in leader.reservations:
+            if not leader.reviews_left:
+                break
             failed_at = leader.failed_reservations.get(step_key)
             if failed_at is not None:
                 if state.now - failed_at < FULL_SEARCH_MS:
@@ -178,11 +181,21 @@
             gangs_done.add(step_key)
             if len(leader.ready[step_key]) < len(tasks):
                 continue
-        elif may_start and _start_overdue(state, effects, task, candidates):
-            continue
+        elif may_start:
+            if reservations.keeps_reservation(state, task):
+                # Others are searched when the reservation is reviewed.
+                name = leader.reservations[task.key].worker
+                if leader.workers[name] in candidates:
+                    reserved = [leader.workers[name]]
+                    _start_overdue(state, effects, task, reserved)
+                continue
+            if _start_overdue(state, effects, task, candidates):
+                continue
         _reserve_workers(state, effects, tasks, candidates)
     _forget_failed_reservations(state)
     for task in reservations.tasks_of_silent_workers(state):
+        if not leader.reviews_left:
+            return
         candidates = _permitted_workers(state, effects, task)
         reservations.reserve(state, task, candidates)
 
--- a/packages/core/src/skylarklug/scheduler/reservations.py
+++ b/packages/core/src/skylarklug/scheduler/reservations.py
@@ -7,6 +7,7 @@
 worker of a run is silent, before the run counts as lost.
 """
 
+import heapq
 from typing import NamedTuple
 
 from skylarklug.scheduler import orders
@@ -20,6 +21,13 @@
 MAX_RESERVED_SHARE = 0.1
 # Interval at which a reservation may move to a worker that is free sooner.
 REVIEW_INTERVAL_MS = 500
+# Number of workers, those with the smallest shortage, that a review compares by
+# when their runs end.
+MAX_CANDIDATES = 64
+# Maximum number of reservations that are made or reviewed in one pass.
+MAX_REVIEWS = 4
+# Time for which a reservation may stay on a worker that refuses its task.
+MAX_REFUSED_MS = 2_200
 # Expected remaining time of a run that has outlasted its estimate.
 MIN_REMAINING_MS = 200
 # The tasks of a worker that has been silent for this long get reservations. Its
@@ -49,7 +57,9 @@
     for key, reservation in list(leader.reservations.items()):
         worker = leader.workers.get(reservation.worker)
         if worker is not None and worker.reservations.get(key) is not None:
-            if _is_needed(state, reservation.task) and _is_usable(worker):
+            # A worker that fails a poll or two goes on.
+            is_kept = _is_open(worker) and worker.is_responsive(state.now)
+            if is_kept and _is_needed(state, reservation.task):
                 continue
         release(leader, key)
 
@@ -66,8 +76,9 @@
     return worker is not None and _is_silent(state, worker)
 
 
-def _is_usable(worker):
-    if worker.failed_polls or not worker.listed or worker.cordoned:
+def _is_open(worker):
+    """Returns whether a worker that answers may get tasks."""
+    if not worker.listed or worker.cordoned:
         return False
     return not worker.entry.draining
 
@@ -149,12 +160,13 @@
     The arguments are those of `reserve`.
     """
     leader = state.leader
-    if all(_keeps_reservation(state, task) for task in tasks):
+    if all(keeps_reservation(state, task) for task in tasks):
         return True
     for task in tasks:
         release(leader, task.key)
     if is_limited(state, tasks):
         return False
+    leader.reviews_left = max(0, leader.reviews_left - len(tasks))
     for task in tasks:
         if not _reserve_worker(state, task, candidates):
             for other in tasks:
@@ -163,22 +175,59 @@
     return True
 
 
-def _keeps_reservation(state, task):
+def keeps_reservation(state, task) -> bool:
     """Returns whether the reservation of a task need not be reviewed now."""
     reservation = state.leader.reservations.get(task.key)
     if reservation is None:
         return False
     if state.now - reservation.reviewed_at < REVIEW_INTERVAL_MS:
         return True
+    if state.leader.reviews_left <= MAX_REVIEWS // 2:
+        # The rest is for tasks that have no reservation yet.
+        return True
     return _is_refused_only(state, task, reservation)
 
 
 def _reserve_worker(state, task, candidates):
     leader = state.leader
-    best = None
+    usable = []
     for worker in candidates:
-        if not _is_usable(worker):
-            continue
+        if _is_open(worker) and not worker.failed_polls:
+            usable.append(worker)
+    nearest = usable
+    if len(usable) > MAX_CANDIDATES:
+        nearest = heapq.nsmallest(
+            MAX_CANDIDATES,
+            usable,
+            key=lambda worker: _shortage(worker, task),
+        )
+    worker = _first_ready(state, task, nearest)
+    if worker is None and nearest is not usable:
+        worker = _first_ready(state, task, usable)
+    if worker is None:
+        return False
+    leader.reservations[task.key] = Reservation(
+        task, worker.name, _largest_share(leader, task), state.now
+    )
+    worker.reservations[task.key] = orders.counted_resources(task.step)
+    return True
+
+
+def _shortage(worker, task):
+    """Returns the largest share of a worker's resources that a task lacks."""
+    shortage = 0.0
+    need = orders.counted_resources(task.step)
+    capacity = worker.entry.capacity
+    for used, amount, limit in zip(worker.used, need, capacity, strict=True):
+        if limit:
+            shortage = max(shortage, (used + amount - limit) / limit)
+    return shortage
+
+
+def _first_ready(state, task, workers):
+    """Returns the worker that is expected to have room first, or None."""
+    best = None
+    for worker in workers:
         ready_in_ms = _ready_in_ms(state, worker, task)
         if ready_in_ms is None:
             continue
@@ -186,20 +235,15 @@
         key = (unreliable, ready_in_ms, worker.name)
         if best is None or key < best[0]:
             best = key, worker
-    if best is None:
-        return False
-    worker = best[1]
-    leader.reservations[task.key] = Reservation(
-        task, worker.name, _largest_share(leader, task), state.now
-    )
-    worker.reservations[task.key] = orders.counted_resources(task.step)
-    return True
+    return None if best is None else best[1]
 
 
 def _is_refused_only(state, task, reservation):
     """Returns whether a task fits on its worker, which has just refused it."""
     worker = state.leader.workers[reservation.worker]
-    if state.now >= worker.backoff_until or not _is_usable(worker):
+    if state.now >= worker.backoff_until or not _is_open(worker):
+        return False
+    if state.now - reservation.reviewed_at >= MAX_REFUSED_MS:
         return False
     return scoring.fits(worker, task.step, task.key)
 
@@ -207,7 +251,12 @@
 def is_limited(state, tasks) -> bool:
     """Returns whether the limit leaves no room for reservations of tasks."""
     leader = state.leader
-    if restarts.is_urgent(state, tasks[0]):
+    first = tasks[0]
+    if first.worker:
+        idle_ms = state.now - leader.workers[first.worker].answered_at
+    else:
+        idle_ms = restarts.idle_ms(state, first)
+    if idle_ms >= restarts.URGENT_MS:
         return False
     reserved = sum(other.share for other in leader.reservations.values())
     added = len(tasks) * _largest_share(leader, tasks[0])
--- a/packages/core/src/skylarklug/scheduler/restarts.py
+++ b/packages/core/src/skylarklug/scheduler/restarts.py
@@ -45,11 +45,6 @@
     return idle_ms(state, task) >= limit
 
 
-def is_urgent(state, task) -> bool:
-    """Returns whether a task may exceed the limit of reservations."""
-    return is_overdue(state, task) and idle_ms(state, task) >= URGENT_MS
-
-
 def is_last_resort(state, task) -> bool:
     """Returns whether a task must start even if that costs other work."""
     return is_overdue(state, task) and idle_ms(state, task) >= LAST_RESORT_MS
--- a/packages/core/src/skylarklug/scheduler/scoring.py
+++ b/packages/core/src/skylarklug/scheduler/scoring.py
@@ -61,7 +61,12 @@
     """
     if worker.has_unknown_run:
         return False
-    used = used_beside(worker, key) if worker.reservations else worker.used
+    used = worker.used
+    if worker.reservations:
+        used = used_beside(worker, key)
+        if step.best_effort:
+            # Reserved CPU is not in use.
+            used[0] = worker.used[0]
     return fits_beside(used, worker.entry.capacity, step)
 
 
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -408,6 +408,8 @@
         eligible_workers: Workers that may run the tasks of a service with a
             label in the current placement pass, even if they are full.
         overdue_due_at: Earliest time at which overdue tasks are placed next.
+        reviews_left: How many reservations may still be made or reviewed in
+            the current pass.
         failed_reservations: When a step's overdue tasks last found neither a
             worker nor one to reserve, by (job, occurrence, step).
         placement_due_at: Earliest time of the next placement pass.
@@ -479,6 +481,7 @@
         self.reservations: dict[records.TaskKey, Any] = {}
         self.eligible_workers: dict[tuple[str, str], list[Worker]] = {}
         self.overdue_due_at = 0
+        self.reviews_left = 0
         self.failed_reservations: dict[tuple, int] = {}
         self.placement_due_at = 0
         self.waiting_measured_at = 0
