Search for a limited number of best-effort groups in a pass

Cause: each poll changes what best-effort tasks may use on a worker, and each waiting group of them then searched that worker in the same pass, so that the time of a pass grew with the number of groups.

Change: a pass ends the searches for best-effort groups after 16 that found no worker. The next pass continues with the groups that it has not come to, after all other tasks. With up to 16 such groups nothing changes.

--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -3,7 +3,9 @@
 Load pattern: many tasks of few kinds wait on hundreds of workers, most of them
 full, while some events a millisecond change one worker each. So all tasks of a
 step share one search, and a kind of task that fitted nowhere only looks at the
-workers that have changed since.
+workers that have changed since. Best-effort tasks are of more kinds, and what
+they may use changes with each poll of a worker, so a pass only searches for
+some of them.
 """
 
 from typing import NamedTuple
@@ -37,6 +39,9 @@
 # A search for the overdue tasks ends after this many steps of which no task
 # found a worker.
 MAX_FAILED_STEPS = 8
+# Maximum number of groups of best-effort tasks in a pass that are searched
+# without finding a worker; the next pass continues with the others.
+MAX_FAILED_GROUPS = 16
 # An overdue task waits for room on a reliable worker until it has been idle for
 # this long. Then it starts wherever it fits.
 LAST_RESORT_MS = 6_000
@@ -134,10 +139,9 @@
     crashes.update_trials(state)
     leader.eligible_workers = {}
     _place_overdue(state, effects)
-    groups = sorted(
-        leader.ready.values(), key=lambda group: _group_sort_key(state, group)
-    )
-    for group in groups:
+    groups = _groups_in_order(state)
+    failed_groups = 0
+    for key, group in groups:
         if not orders.may_start_more(leader):
             break
         task = next(iter(group.values()))
@@ -149,10 +153,44 @@
         if task.step.gang:
             _place_gang(state, effects, group)
             continue
-        _place_group(state, effects, task, group)
+        if task.step.best_effort and failed_groups == MAX_FAILED_GROUPS:
+            if leader.resume_groups_at is None:
+                leader.resume_groups_at = key
+                leader.placement_requested = True
+            continue
+        if not _place_group(state, effects, task, group):
+            failed_groups += task.step.best_effort
     _forget_old_failures(state)
 
 
+def _groups_in_order(state):
+    """Returns the waiting groups in the order of the pass, after their keys.
+
+    Those of best-effort tasks that the last pass has not come to go before the
+    other best-effort ones, but after all others.
+    """
+    leader = state.leader
+    groups = []
+    for group in leader.ready.values():
+        groups.append((_group_sort_key(state, group), group))
+    groups.sort(key=lambda item: item[0])
+    resume_at = leader.resume_groups_at
+    if resume_at is None:
+        return groups
+    leader.resume_groups_at = None
+    others = []
+    remaining = []
+    searched = []
+    for key, group in groups:
+        if not next(iter(group.values())).step.best_effort:
+            others.append((key, group))
+        elif key >= resume_at:
+            remaining.append((key, group))
+        else:
+            searched.append((key, group))
+    return others + remaining + searched
+
+
 def _place_overdue(state, effects):
     """Starts overdue tasks, or reserves workers for those that fit nowhere."""
     leader = state.leader
@@ -209,7 +247,10 @@
 
 
 def _place_group(state, effects, task, group):
-    """Starts what fits of a group, unless a smaller task has just failed."""
+    """Starts what fits of a group, unless a smaller task has just failed.
+
+    Returns False if a search for a worker has failed.
+    """
     leader = state.leader
     kind = _equivalence_class(state, task)
     need = task.step.resources
@@ -219,10 +260,10 @@
         since = failure.sequence
         task.wait_reason = failure.reason
         if since == leader.change_sequence:
-            return
+            return True
     placed = _place_step(state, effects, group, since)
     if placed or kind is None:
-        return
+        return placed
     searched_at = failure.full_search_at if since else state.now
     failures = leader.failed_searches.setdefault(kind, {})
     if not task.step.best_effort:
@@ -232,6 +273,7 @@
     failures[need] = FailedSearch(
         need, leader.change_sequence, searched_at, task.wait_reason
     )
+    return False
 
 
 def _latest_failure(leader, kind, need):
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -400,6 +400,8 @@
             waiting task start there.
         failed_searches: Kinds of waiting tasks that fitted nowhere, with the
             sequence number of that search.
+        resume_groups_at: Sort key of the first group of best-effort tasks that
+            the last placement pass has not come to, or None.
         reservations: Reservations of workers, by the key of their task.
         eligible_workers: Workers that may run the tasks of a service with a
             label in the current placement pass, even if they are full.
@@ -470,6 +472,7 @@
         self.placement_requested = False
         self.change_sequence = 1
         self.failed_searches: dict[Any, Any] = {}
+        self.resume_groups_at: tuple | None = None
         self.reservations: dict[records.TaskKey, Any] = {}
         self.eligible_workers: dict[tuple[str, str], list[Worker]] = {}
         self.overdue_due_at = 0
