Use known interference in the first score of a worker

Cause: a search scores each worker without the interference with serving tasks first, and then in full. A worker that is too busy for an image was scored twice by each group, also where another group with the image had computed that.

Change: the first score includes the interference where it is known.

The new test fails without the change.

--- a/packages/core/src/skylarklug/scheduler/interference.py
+++ b/packages/core/src/skylarklug/scheduler/interference.py
@@ -89,6 +89,11 @@
 # ---------------------------------------------------------------- placement
 
 
+def is_headroom_known(worker, task) -> bool:
+    """Returns whether `headroom` only has to look up what it has computed."""
+    return task.step.image in worker.allowed_shares
+
+
 def headroom(state, worker, task) -> float:
     """Returns the share of full speed that a worker allows a task."""
     image = task.step.image
--- a/packages/core/src/skylarklug/scheduler/scoring.py
+++ b/packages/core/src/skylarklug/scheduler/scoring.py
@@ -215,7 +215,8 @@
     """Returns a sort key, lowest best, or None if the task does not fit.
 
     With `is_bound`, it is a lower bound of that key, which takes a fraction of
-    the time: it leaves out the interference with serving tasks.
+    the time: it leaves out the interference with serving tasks, unless that is
+    known already.
     """
     step = task.step
     if not fits(worker, step, task.key):
@@ -258,7 +259,7 @@
 def _score_best_effort(state, worker, task, prefix, is_bound):
     spare = _spare_cpu(worker)
     speed = min(1.0, spare / max(1, task.step.resources.cpu))
-    if not is_bound:
+    if not is_bound or interference.is_headroom_known(worker, task):
         speed = min(speed, interference.headroom(state, worker, task))
     needed = MIN_INITIAL_SPEED
     if state.now - task.speed_wanted_since >= SPEED_WAIT_MS:
--- a/tests/scheduler/test_placement_passes.py
+++ b/tests/scheduler/test_placement_passes.py
@@ -185,3 +185,33 @@
         assert not sim.leader().state.leader.ready
         for number in range(2, 2 + self.COUNT):
             assert sim.state_of(number) == "done"
+
+
+class TestKnownInterference:
+    def test_workers_without_headroom_are_scored_once(self, deployment):
+        """Guards against scores of workers that are known to be too busy."""
+        sim = deployment(workers=4)
+        sim.submit(1, fakes.step(4, cpu=16_000))
+        sim.submit(2, best_effort_step(1_000, image="b"))
+        sim.run(300)
+        state = sim.leader().state
+        workers = list(state.leader.workers.values())
+        task = state.leader.jobs[fakes.job_id(2)].tasks[fakes.first_key(2)]
+        for worker in workers:
+            worker.runs.clear()
+            worker.used = [0, 0, 0]
+            worker.allowed_shares["b"] = 0.0
+        scored = []
+        score = scoring._score
+
+        def count(state, worker, *args, **kwargs):
+            scored.append(worker)
+            return score(state, worker, *args, **kwargs)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(scoring, "_score", count)
+            assert scoring.best_worker(state, task, workers) is None
+            assert len(scored) == len(workers)
+            for worker in workers:
+                worker.allowed_shares["b"] = 1.0
+            assert scoring.best_worker(state, task, workers) is not None
