Keep failed searches of expired tasks by request

All but the largest short tasks search all workers in each pass.

Change: short tasks that earn nothing any more keep a failed search for each request, as best-effort tasks do, and so do those with a label, a limit per worker or avoided workers. Short tasks that can still earn something are searched as before.

--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -266,7 +266,7 @@
         return placed
     searched_at = failure.full_search_at if since else state.now
     failures = leader.failed_searches.setdefault(kind, {})
-    if not task.step.best_effort:
+    if not _may_wait(state, task):
         # So all but the largest of them search all workers in each pass, and
         # find those that become eligible without a change.
         failures.clear()
@@ -309,10 +309,10 @@
     if crashes.is_suspect(task) or advice.is_needed(state, task.job):
         return None
     service = jobs.service_of(state, task.job)
-    if not step.best_effort:
+    if not _may_wait(state, task):
         if step.label or step.max_per_worker or task.avoided_workers:
             return None
-        return (service, scoring.is_expired(state, task))
+        return (service,)
     avoided = None
     if task.avoided_workers:
         waited_ms = state.now - task.waiting_since
@@ -320,17 +320,27 @@
             frozenset(task.avoided_workers),
             waited_ms < scoring.AVOID_MS,
         )
-    return (
+    constraints = (
         service,
         step.label,
         task.key[:3] if step.max_per_worker else None,
         avoided,
+    )
+    if not step.best_effort:
+        return constraints
+    return (
+        *constraints,
         step.image,
         state.now - task.speed_wanted_since >= scoring.SPEED_WAIT_MS,
         scoring.is_starved(state, task),
     )
 
 
+def _may_wait(state, task):
+    """Returns whether little is lost if a task waits for a full search."""
+    return task.step.best_effort or scoring.is_expired(state, task)
+
+
 def _needs_at_least(need, other):
     """Returns whether every resource of a request is at least another's."""
     pairs = zip(need, other, strict=True)
--- a/tests/scheduler/test_placement_passes.py
+++ b/tests/scheduler/test_placement_passes.py
@@ -31,7 +31,7 @@
 class TestWaitingGroups:
     """A pass only looks at what has changed since the last one."""
 
-    def wait_for_room(self, deployment, steps):
+    def wait_for_room(self, deployment, steps, wait_ms=2_000):
         sim = deployment(workers=4)
         for worker in sim.workers.values():
             worker.run_ms = 60_000
@@ -39,7 +39,7 @@
         sim.run(1_000)
         for number, step in enumerate(steps, 2):
             sim.submit(number, step)
-        sim.run(2_000)
+        sim.run(wait_ms)
         state = sim.leader().state
         assert len(state.leader.ready) == len(steps) + 1
         state.leader.failed_searches.clear()
@@ -81,6 +81,23 @@
         next(iter(leader.workers.values())).record_change(leader)
         assert max(count_scored(state)) == 1
 
+    def test_expired_tasks_only_score_changed_workers(self, deployment):
+        """Guards against full searches for short tasks that earn nothing."""
+        steps = []
+        for number in range(50):
+            label = "a" if number % 2 else ""
+            memory_mb = 60_000 - 100 * number
+            step = fakes.step(memory_mb=memory_mb, estimate_ms=100, label=label)
+            steps.append(step)
+        state = self.wait_for_room(deployment, steps, wait_ms=20_000)
+        leader = state.leader
+        for group in leader.ready.values():
+            for task in group.values():
+                assert scoring.is_expired(state, task)
+        assert count_scored(state)
+        next(iter(leader.workers.values())).record_change(leader)
+        assert max(count_scored(state)) == 1
+
     def test_smaller_task_starts_beside_larger_ones(self, deployment):
         """Guards against a larger task whose failure holds for a smaller."""
         sim = deployment(workers=4)
