--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -3,7 +3,9 @@
 Load pattern: many tasks of few kinds wait on hundreds of workers, most of them
 full, while some events a millisecond change one worker each. So all tasks of a
 step share one search, and a kind of task that fitted nowhere only looks at the
-workers that have changed since.
+workers that have changed since. Best-effort tasks are of more kinds, and what
+they may use changes with each poll of a worker, so a pass only searches for
+some of them.
 """
 
 from typing import NamedTuple
@@ -34,6 +36,9 @@
 FULL_SEARCH_MS = 250
 # Minimum time between two searches for workers for the overdue tasks.
 OVERDUE_INTERVAL_MS = 50
+# Maximum number of groups of best-effort tasks in a pass that are searched
+# without finding a worker; the next pass continues with the others.
+MAX_FAILED_GROUPS = 16
 # Interval at which waiting tasks are counted by reason.
 MEASURE_INTERVAL_MS = 1_000
 # A long-running task that has been idle for this long is logged.
@@ -128,10 +133,9 @@
     crashes.update_trials(state)
     leader.eligible_workers = {}
     _place_overdue(state, effects)
-    groups = sorted(
-        leader.ready.values(), key=lambda group: _group_sort_key(state, group)
-    )
-    for group in groups:
+    groups = _groups_in_order(state)
+    failed_groups = 0
+    for key, group in groups:
         if not orders.may_start_more(leader):
             break
         task = next(iter(group.values()))
@@ -143,10 +147,44 @@
         if task.step.gang:
             _place_gang(state, effects, group)
             continue
-        _place_group(state, effects, task, group)
+        if task.step.best_effort and failed_groups == MAX_FAILED_GROUPS:
+            if leader.resume_groups_at is None:
+                leader.resume_groups_at = key
+                leader.placement_requested = True
+            continue
+        if not _place_group(state, effects, task, group):
+            failed_groups += task.step.best_effort
     _forget_old_failures(state)
 
 
+def _groups_in_order(state):
+    """Returns the waiting groups in the order of the pass, after their keys.
+
+    Those of best-effort tasks that the last pass has not come to go before the
+    other best-effort ones, but after all others.
+    """
+    leader = state.leader
+    groups = []
+    for group in leader.ready.values():
+        groups.append((_group_sort_key(state, group), group))
+    groups.sort(key=lambda item: item[0])
+    resume_at = leader.resume_groups_at
+    if resume_at is None:
+        return groups
+    leader.resume_groups_at = None
+    others = []
+    remaining = []
+    searched = []
+    for key, group in groups:
+        if not next(iter(group.values())).step.best_effort:
+            others.append((key, group))
+        elif key >= resume_at:
+            remaining.append((key, group))
+        else:
+            searched.append((key, group))
+    return others + remaining + searched
+
+
 def _place_overdue(state, effects):
     """Starts overdue tasks, or reserves workers for those that fit nowhere."""
     leader = state.leader
@@ -247,7 +285,10 @@
 
 
 def _place_group(state, effects, task, group):
-    """Starts what fits of a group, unless a smaller task has just failed."""
+    """Starts what fits of a group, unless a smaller task has just failed.
+
+    Returns False if a search for a worker has failed.
+    """
     leader = state.leader
     kind = _equivalence_class(state, task)
     need = task.step.resources
@@ -257,19 +298,20 @@
         since = failure.sequence
         task.wait_reason = failure.reason
         if since == leader.change_sequence:
-            return
+            return True
     placed = _place_step(state, effects, group, since)
     if placed or kind is None:
-        return
+        return placed
     searched_at = failure.full_search_at if since else state.now
     failures = leader.failed_searches.setdefault(kind, {})
-    if not task.step.best_effort:
+    if not _may_wait(state, task):
         # So all but the largest of them search all workers in each pass, and
         # find those that become eligible without a change.
         failures.clear()
     failures[need] = FailedSearch(
         need, leader.change_sequence, searched_at, task.wait_reason
     )
+    return False
 
 
 def _latest_failure(leader, kind, need):
@@ -305,10 +347,10 @@
     if crashes.is_suspect(task) or advice.is_needed(state, task.job):
         return None
     service = jobs.service_of(state, task.job)
-    if not step.best_effort:
+    if not _may_wait(state, task):
         if step.label or step.max_per_worker or task.avoided_workers:
             return None
-        return (service, scoring.is_expired(state, task))
+        return (service,)
     avoided = None
     if task.avoided_workers:
         waited_ms = state.now - task.waiting_since
@@ -316,17 +358,27 @@
             frozenset(task.avoided_workers),
             waited_ms < scoring.AVOID_MS,
         )
-    return (
+    constraints = (
         service,
         step.label,
         task.key[:3] if step.max_per_worker else None,
         avoided,
+    )
+    if not step.best_effort:
+        return constraints
+    return (
+        *constraints,
         step.image,
         state.now - task.speed_wanted_since >= scoring.SPEED_WAIT_MS,
         scoring.is_starved(state, task),
     )
 
 
+def _may_wait(state, task):
+    """Returns whether little is lost if a task waits for a full search."""
+    return task.step.best_effort or scoring.is_expired(state, task)
+
+
 def _needs_at_least(need, other):
     """Returns whether every resource of a request is at least another's."""
     pairs = zip(need, other, strict=True)
