--- a/packages/core/src/skylarklug/scheduler/reservations.py
+++ b/packages/core/src/skylarklug/scheduler/reservations.py
@@ -17,7 +17,7 @@
 from skylarklug.scheduler import state as state_lib
 
 # Maximum share of the resources of all workers that reservations hold, except
-# for tasks that have been idle for `restarts.URGENT_MS`. One may always be made.
+# for tasks that have been idle for `restarts.URGENT_MS`. One is always allowed.
 MAX_RESERVED_SHARE = 0.1
 # Interval at which a reservation may move to a worker that is free sooner.
 REVIEW_INTERVAL_MS = 500
