--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -161,7 +161,7 @@
         attributes = {"last_end": task.last_end or "none"}
         effects.append(
             fx.Measure(
-                "skylarklug.long_running.idle",
+                "skylarklug.start.idle",
                 task.idle_before_ms / 1000,
                 attributes,
             )
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -600,9 +600,7 @@
     idle_tasks.sort(key=lambda task: (task.idle_since, task.key))
     longest_ms = state.now - idle_tasks[0].idle_since if idle_tasks else 0
     effects.append(
-        fx.Measure(
-            "skylarklug.long_running.longest_idle", longest_ms / 1000, {}
-        )
+        fx.Measure("skylarklug.tasks.longest_idle", longest_ms / 1000, {})
     )
     for task in idle_tasks[:MAX_IDLE_WARNINGS]:
         idle_ms = state.now - task.idle_since
--- a/packages/node/src/skylarklugd/metrics.py
+++ b/packages/node/src/skylarklugd/metrics.py
@@ -26,8 +26,8 @@
     "skylarklug.store.duration": ("histogram", "s"),
     "skylarklug.answer.duration": ("histogram", "s"),
     "skylarklug.start.wait": ("histogram", "s"),
-    "skylarklug.long_running.idle": ("histogram", "s"),
-    "skylarklug.long_running.longest_idle": ("gauge", "s"),
+    "skylarklug.start.idle": ("histogram", "s"),
+    "skylarklug.tasks.longest_idle": ("gauge", "s"),
     "skylarklug.tick.delay": ("histogram", "s"),
     "skylarklug.tasks.waiting": ("gauge", "{task}"),
 }
--- a/tests/scheduler/test_idle_tasks.py
+++ b/tests/scheduler/test_idle_tasks.py
@@ -53,7 +53,7 @@
         measured = []
 
         def record(node, effect):
-            if effect.name == "skylarklug.long_running.longest_idle":
+            if effect.name == "skylarklug.tasks.longest_idle":
                 measured.append(effect.value)
 
         sim.on_Measure = record
