Split the placement of overdue tasks

Whether a task may start or reserve, its placement, and the reservations of a gang are functions of their own.

--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -193,43 +193,20 @@
         return
     leader.overdue_due_at = state.now + OVERDUE_INTERVAL_MS
     leader.reviews_left = reservations.MAX_REVIEWS
-    gangs_done = set()
+    reserved_gangs = set()
     for task in reservations.overdue_tasks(state):
         if not orders.may_start_more(leader):
             return
-        if not task.job.start_recorded:
-            continue
-        step_key = task.key[:3]
-        if step_key in gangs_done:
-            continue
-        if task.key not in leader.reservations:
-            if not leader.reviews_left:
-                break
-            failed_at = leader.failed_reservations.get(step_key)
-            if failed_at is not None:
-                if state.now - failed_at < FULL_SEARCH_MS:
-                    continue
-        may_start = _may_start(state, task)
-        if not may_start and task.wait_reason != waiting.DELAYED:
+        if not leader.reviews_left and task.key not in leader.reservations:
+            # The tasks with a reservation come first.
+            break
+        if not _may_reserve(state, task):
             continue
-        candidates = _permitted_workers(state, effects, task)
-        tasks = [task]
-        if task.step.gang:
-            tasks = gangs.members(task)
-            gangs_done.add(step_key)
-            if len(leader.ready[step_key]) < len(tasks):
-                continue
-        elif may_start:
-            if reservations.keeps_reservation(state, task):
-                # Others are searched when the reservation is reviewed.
-                name = leader.reservations[task.key].worker
-                if leader.workers[name] in candidates:
-                    reserved = [leader.workers[name]]
-                    _start_overdue(state, effects, task, reserved)
-                continue
-            if _start_overdue(state, effects, task, candidates):
-                continue
-        _reserve_workers(state, effects, tasks, candidates)
+        if not task.step.gang:
+            _place_overdue_task(state, effects, task)
+        elif task.key[:3] not in reserved_gangs:
+            reserved_gangs.add(task.key[:3])
+            _reserve_for_gang(state, effects, task)
     _forget_failed_reservations(state)
     for task in reservations.tasks_of_silent_workers(state):
         if not leader.reviews_left:
@@ -238,6 +215,43 @@
         reservations.reserve(state, task, candidates)
 
 
+def _may_reserve(state, task):
+    """Returns whether an overdue task may start, or only has to be delayed."""
+    leader = state.leader
+    if not task.job.start_recorded:
+        return False
+    failed_at = leader.failed_reservations.get(task.key[:3])
+    if failed_at is not None and task.key not in leader.reservations:
+        if state.now - failed_at < FULL_SEARCH_MS:
+            return False
+    return _may_start(state, task) or task.wait_reason == waiting.DELAYED
+
+
+def _place_overdue_task(state, effects, task):
+    leader = state.leader
+    candidates = _permitted_workers(state, effects, task)
+    if _may_start(state, task):
+        if reservations.keeps_reservation(state, task):
+            # Others are searched when the reservation is reviewed.
+            name = leader.reservations[task.key].worker
+            if leader.workers[name] in candidates:
+                reserved = [leader.workers[name]]
+                _start_overdue(state, effects, task, reserved)
+            return
+        if _start_overdue(state, effects, task, candidates):
+            return
+    _reserve_workers(state, effects, [task], candidates)
+
+
+def _reserve_for_gang(state, effects, task):
+    """Reserves workers for all members of a gang, which starts as a whole."""
+    members = gangs.members(task)
+    if len(state.leader.ready[task.key[:3]]) < len(members):
+        return
+    candidates = _permitted_workers(state, effects, task)
+    _reserve_workers(state, effects, members, candidates)
+
+
 def _reserve_workers(state, effects, tasks, candidates):
     """Reserves workers for an overdue task, or for all members of its gang."""
     first = tasks[0]
