Share the limit of a wait over a take-over, and the run time of a task

Two tests computed the same limit of a wait after a leader ended; `reservations` computed the run time that `orders.ran_ms` returns; `forget_outlasted` took one value anew for each record; `is_exhausted` had been reordered without need. `preemptions` also counts stops for an older long-running task, which its description did not say.

Change: one function each, the former order of `is_exhausted`, and the description. No change of behaviour; the tests keep their assertions and bounds.

--- a/packages/core/src/skylarklug/scheduler/crashes.py
+++ b/packages/core/src/skylarklug/scheduler/crashes.py
@@ -74,11 +74,13 @@
 def is_exhausted(task) -> bool:
     """Returns whether a task has crashed too many workers to start again."""
     proofs = [crash for crash in task.crashes.values() if _is_proof(crash)]
+    if len(proofs) >= MAX_LATE_CRASHES:
+        return True
     recent = [c for c in proofs if c.survived_ms < MAX_CRASH_AGE_MS]
-    prompt = [crash for crash in recent if _is_prompt(crash)]
-    if len(prompt) >= MAX_TRIAL_CRASHES or len(recent) >= MAX_CRASHES:
+    if len(recent) >= MAX_CRASHES:
         return True
-    return len(proofs) >= MAX_LATE_CRASHES
+    prompt = [crash for crash in recent if _is_prompt(crash)]
+    return len(prompt) >= MAX_TRIAL_CRASHES
 
 
 def restart_delay_ms(task) -> int:
@@ -302,10 +304,10 @@
     """
     if not task.step.runs_until_cancelled:
         return []
+    # An end may be reported long after it.
+    lasted_ms = task.survived_ms()
     outlasted = []
     for attempt, crash in task.crashes.items():
-        # An end may be reported long after it.
-        lasted_ms = task.survived_ms()
         crashed_ms = max(crash.survived_ms, crash.ended_ms, MAX_CRASH_AGE_MS)
         if crashed_ms <= lasted_ms:
             outlasted.append(attempt)
--- a/packages/core/src/skylarklug/scheduler/reservations.py
+++ b/packages/core/src/skylarklug/scheduler/reservations.py
@@ -325,5 +325,5 @@
         return 0
     if task.step.runs_until_cancelled:
         return None
-    ran_ms = state.now - task.running_since if task.running_since else 0
+    ran_ms = orders.ran_ms(task, state.now)
     return max(MIN_REMAINING_MS, task.step.estimate_ms - ran_ms)
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -69,7 +69,7 @@
         last_end: How its latest run ended; empty if it has had none.
         last_run_at: When its latest run ended, however short it was; when it
             was accepted if it has had none.
-        preemptions: How often it was stopped for short tasks.
+        preemptions: How often it was stopped for another task.
         speed_wanted_since: Since when a best-effort task has waited for a
             worker that allows it its full speed: since its job was accepted or
             its latest run ended. A later step does not wait anew.
--- a/tests/scheduler/takeovers.py
+++ b/tests/scheduler/takeovers.py
@@ -28,6 +28,14 @@
 )
 
 
+def lost_limit_ms(how):
+    """Returns the longest wait over a take-over after a leader ended."""
+    if how != "kill":
+        return LOST_MS
+    # Nobody may start a task between the two leaders.
+    return LOST_MS + DETECTION_MS + FORMER_PERMISSION_MS + STARTUP_MS
+
+
 def lasting(count, cpu=WHOLE_WORKER):
     return fakes.step(count, cpu=cpu, runs_until_cancelled=True)
 
--- a/tests/scheduler/test_idle_review.py
+++ b/tests/scheduler/test_idle_review.py
@@ -331,14 +331,7 @@
         worker = long_running.worker_of(sim)
         takeovers.remove_worker(sim, worker, listed=False)
         takeovers.end_leader(sim, how)
-        limit_ms = takeovers.LOST_MS
-        if how == "kill":
-            # Nobody may start a task in this time.
-            limit_ms += (
-                takeovers.DETECTION_MS
-                + takeovers.FORMER_PERMISSION_MS
-                + takeovers.STARTUP_MS
-            )
+        limit_ms = takeovers.lost_limit_ms(how)
         long_running.run_until_started(sim, limit_ms=limit_ms)
         long_running.check(sim, limit_ms=limit_ms)
 
--- a/tests/scheduler/test_long_running_waits.py
+++ b/tests/scheduler/test_long_running_waits.py
@@ -300,14 +300,7 @@
         long_running.fail_run(sim)
         sim.run(4_000)
         takeovers.end_leader(sim, how)
-        limit_ms = takeovers.LOST_MS
-        if how == "kill":
-            # Nobody may start a task in this time.
-            limit_ms += (
-                takeovers.DETECTION_MS
-                + takeovers.FORMER_PERMISSION_MS
-                + takeovers.STARTUP_MS
-            )
+        limit_ms = takeovers.lost_limit_ms(how)
         long_running.run_until_started(
             sim, limit_ms=failed_at + limit_ms - sim.now
         )
