Log what a new leader waits for, and until when

The log names neither the worker that holds a task nor the end of that hold, nor how the end is known.

Change: a new leader logs what it has read of the ends of leases (takeover-read), which workers have not answered it after a second, when their last leases end and by which record that is known (worker-unreached); settled tells after which time and how many held tasks it has released; long-running-idle names the workers for which a task is held and for how long. A gauge counts the held long-running tasks. The gauges of waiting tasks were only updated in placement passes, so they kept their last value when nothing waited any more; they are updated each second now.

--- a/packages/core/src/skylarklug/scheduler/leases.py
+++ b/packages/core/src/skylarklug/scheduler/leases.py
@@ -19,6 +19,14 @@
 
 TABLE = "handover"
 KEY = "leases"
+# How a leader knows when a lease ends: it has granted it, a former leader has
+# recorded it for this worker, a former leader has recorded it for all of its
+# leases, or it is the end of the longest lease that there may be.
+GRANTED = "granted"
+RECORDED = "recorded"
+RELEASED = "released"
+LONGEST = "longest"
+SOURCES = (GRANTED, RECORDED, RELEASED, LONGEST)
 # Maximum relative rate difference of two clocks, from the platform's protocol.
 CLOCK_DRIFT = 0.02
 # Most tasks that the row names; each takes about 40 bytes of 64 KiB. Workers
@@ -50,11 +58,13 @@
         tasks: The tasks that may run there; None if any may.
         store_ms: The same time on the store's clock, if a former leader has
             recorded it; 0 otherwise.
+        source: How it is known, one of `SOURCES`, for the log.
     """
 
     at: int
     tasks: frozenset[records.TaskKey] | None
     store_ms: int = 0
+    source: str = LONGEST
 
 
 class FormerWorker(NamedTuple):
@@ -184,12 +194,12 @@
         if tasks is not None:
             keys = _decode_tasks(tasks)
         at = reached_at(reading, store_ms)
-        expiries[name] = Expiry(at, keys, store_ms)
+        expiries[name] = Expiry(at, keys, store_ms, RECORDED)
     if written_in != epoch - 1 or "released_until" not in value:
         # A later leader may have granted leases.
         return expiries, None
     store_ms = value["released_until"]
-    expiry = Expiry(reached_at(reading, store_ms), None, store_ms)
+    expiry = Expiry(reached_at(reading, store_ms), None, store_ms, RELEASED)
     unsaved = value.get("unsaved_jobs")
     if unsaved is not None:
         unsaved = frozenset(unsaved)
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -45,6 +45,8 @@
 IDLE_WARNING_MS = 6_000
 # Maximum number of idle tasks logged at once, those that are idle longest.
 MAX_IDLE_WARNINGS = 3
+# Maximum number of workers named in such a line.
+MAX_HOLDERS_LOGGED = 3
 
 
 def _eligible_workers(state, task):
@@ -580,6 +582,9 @@
     if not leadership.may_send_orders(state):
         return
     if isinstance(event, events.Tick):
+        # Also while nothing waits, so that the gauges go back to zero.
+        if state.now >= leader.waiting_measured_at + MEASURE_INTERVAL_MS:
+            _measure_waiting(state, effects)
         _drain(state, effects)
         if leader.ready:
             leader.placement_requested = True
@@ -588,8 +593,6 @@
     leader.placement_requested = False
     leader.placement_due_at = state.now + PASS_INTERVAL_MS
     place(state, effects)
-    if state.now >= leader.waiting_measured_at + MEASURE_INTERVAL_MS:
-        _measure_waiting(state, effects)
 
 
 def _measure_waiting(state, effects):
@@ -613,6 +616,8 @@
             idle_tasks.extend(group.values())
     idle_tasks.sort(key=lambda task: (task.idle_since, task.key))
     longest_ms = state.now - idle_tasks[0].idle_since if idle_tasks else 0
+    held = [task for task in idle_tasks if _is_held(state.leader, task)]
+    effects.append(fx.Measure("skylarklug.tasks.held", len(held), {}))
     effects.append(
         fx.Measure("skylarklug.tasks.longest_idle", longest_ms / 1000, {})
     )
@@ -620,6 +625,9 @@
         idle_ms = state.now - task.idle_since
         if idle_ms < IDLE_WARNING_MS:
             return
+        held_by = []
+        if task.held:
+            held_by = roster.workers_that_may_run(state.leader, task.key)
         fields = {
             "task": str(task.key),
             "idle_ms": idle_ms,
@@ -631,10 +639,26 @@
             "memory_mb": task.step.resources.memory_mb,
             "fits_on": _count_fitting_workers(state, task),
             "idle_tasks": len(idle_tasks),
+            "held_tasks": len(held),
+            "held_by": held_by[:MAX_HOLDERS_LOGGED],
+            "held_ms": _held_ms(state, held_by),
         }
         effects.append(fx.Log("warning", "long-running-idle", fields))
 
 
+def _is_held(leader, task):
+    return task.held and roster.may_run_unseen(leader, task.key)
+
+
+def _held_ms(state, names):
+    """Returns how long the last lease of any of the workers still lasts."""
+    until = state.now
+    for name in names:
+        expiry = state.leader.former_workers[name].expiry
+        until = max(until, expiry.at)
+    return until - state.now
+
+
 def _count_fitting_workers(state, task):
     """Returns how many workers that may run a task have room for it."""
     count = 0
--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -32,6 +32,8 @@
 # The same for workers that have answered it. A worker whose last lease is
 # recorded gets the next one only after a commit, and the store may be away.
 SILENT_WORKER_MS = 2_500
+# The workers that have not answered a new leader are logged after this time.
+UNREACHED_LOG_MS = 1_000
 
 
 def add_former_workers(state):
@@ -60,15 +62,43 @@
 # ---------------------------------------------------------------- settling
 
 
+def log_unreached(state, effects):
+    """Logs, once, which workers of former leaders have not answered so far."""
+    leader = state.leader
+    if leader.unreached_logged or state.now < leader.since + UNREACHED_LOG_MS:
+        return
+    leader.unreached_logged = True
+    for name, former in leader.former_workers.items():
+        expiry = former.expiry
+        tasks = expiry.tasks
+        fields = {
+            "worker": name,
+            "epoch": leader.epoch,
+            "expires_in_ms": expiry.at - state.now,
+            "known_by": expiry.source,
+            "may_run": "any" if tasks is None else len(tasks),
+            "listed": leader.workers[name].listed,
+        }
+        effects.append(fx.Log("warning", "worker-unreached", fields))
+
+
+def workers_that_may_run(leader, key) -> list[str]:
+    """Returns the workers without an answer that may run a task."""
+    found = []
+    for name, former in leader.former_workers.items():
+        tasks = former.expiry.tasks
+        if tasks is None:
+            may_run = key not in leader.waiting_tasks
+        else:
+            may_run = key in tasks
+        if may_run:
+            found.append(name)
+    return found
+
+
 def may_run_unseen(leader, key) -> bool:
     """Returns whether a worker that has not answered may run a task."""
-    for former in leader.former_workers.values():
-        tasks = former.expiry.tasks
-        if tasks is None and key not in leader.waiting_tasks:
-            return True
-        if tasks is not None and key in tasks:
-            return True
-    return False
+    return bool(workers_that_may_run(leader, key))
 
 
 def settle(state, effects):
@@ -100,15 +130,22 @@
         return
     leader.settled = True
     exhausted = []
+    released = 0
     for job in leader.jobs.values():
         for task in job.tasks.values():
+            released += task.held and not task.worker
             task.held = False
             if not task.worker and crashes.is_exhausted(task):
                 exhausted.append(task)
     for task in exhausted:
         jobs.fail_job(state, effects, task.job, crashes.describe(task))
     leader.placement_requested = True
-    fields = {"epoch": leader.epoch, "unreached": leader.unreached}
+    fields = {
+        "epoch": leader.epoch,
+        "unreached": leader.unreached,
+        "after_ms": state.now - leader.since,
+        "released_tasks": released,
+    }
     effects.append(fx.Log("info", "settled", fields))
 
 
@@ -187,7 +224,9 @@
     if former is not None:
         return former.expiry
     tasks = None if _has_unknown_work(worker) else frozenset(worker.runs)
-    return leases.Expiry(lease_ends_at(state, worker), tasks)
+    return leases.Expiry(
+        lease_ends_at(state, worker), tasks, source=leases.GRANTED
+    )
 
 
 def _kept_workers(state, stopping=False):
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -426,6 +426,7 @@
         waiting_tasks: Tasks that ran nowhere, or only on workers whose record
             in the store names them, when the former leader stopped.
         unreached: Former workers whose leases ended without an answer.
+        unreached_logged: Whether those without an answer have been logged.
         roster_saved: Address by worker, as in the committed roster.
         roster_changed: Whether a worker has answered that may need an entry.
         expiries_saved: Workers for which the store has the end of the last
@@ -503,6 +504,7 @@
         self.unsaved_jobs: frozenset[str] | None = None
         self.waiting_tasks: frozenset[records.TaskKey] = frozenset()
         self.unreached: list[str] = []
+        self.unreached_logged = False
         self.roster_changed = False
         self.expiries_saved: frozenset[str] | None = frozenset()
         self.expiring: frozenset[str] = frozenset()
--- a/packages/core/src/skylarklug/scheduler/takeover.py
+++ b/packages/core/src/skylarklug/scheduler/takeover.py
@@ -1,5 +1,7 @@
 """Reads what former leaders have left in the store when a node takes over."""
 
+import collections
+
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import leases
 from skylarklug.scheduler import store
@@ -52,6 +54,7 @@
                 state, effects, leader, store.clock_reading(answer), row
             )
         leader.loaded.add("leases")
+        _log_read(state, effects, leader)
 
     store.read(state, effects, "work", "", on_work)
     store.read(state, effects, table, roster_key, on_roster)
@@ -67,6 +70,24 @@
     return roster
 
 
+def _log_read(state, effects, leader):
+    """Logs how the ends of the former leaders' leases are known."""
+    counts = collections.Counter()
+    latest = leader.since
+    for former in leader.former_workers.values():
+        counts[former.expiry.source] += 1
+        latest = max(latest, former.expiry.at)
+    fields = {
+        "epoch": leader.epoch,
+        "workers": len(leader.former_workers),
+        "waiting_tasks": len(leader.waiting_tasks),
+        "latest_expiry_ms": latest - state.now,
+    }
+    for source in leases.SOURCES:
+        fields[f"{source}_expiries"] = counts[source]
+    effects.append(fx.Log("info", "takeover-read", fields))
+
+
 def _shorten_waits(state, effects, leader, reading, row):
     """Applies what the former leaders have recorded on the ends of leases."""
     since_epoch = state.owner.get("leases_since", leader.epoch)
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -489,6 +489,7 @@
             del leader.workers[worker.name]
     if not leader.settled:
         roster.settle(state, effects)
+        roster.log_unreached(state, effects)
     roster.save(state, effects)
 
 
--- a/packages/node/src/skylarklugd/logs.py
+++ b/packages/node/src/skylarklugd/logs.py
@@ -22,6 +22,7 @@
         "route",
         "run-lost",
         "start-failed",
+        "worker-unreached",
     }
 )
 
--- a/packages/node/src/skylarklugd/metrics.py
+++ b/packages/node/src/skylarklugd/metrics.py
@@ -28,6 +28,7 @@
     "skylarklug.start.wait": ("histogram", "s"),
     "skylarklug.start.idle": ("histogram", "s"),
     "skylarklug.tasks.longest_idle": ("gauge", "s"),
+    "skylarklug.tasks.held": ("gauge", "{task}"),
     "skylarklug.tick.delay": ("histogram", "s"),
     "skylarklug.tasks.waiting": ("gauge", "{task}"),
 }
