Store until when the leases of a leader last

Cause: a new leader knew the end of a silent worker's lease only if a former leader had recorded it for that worker, after one to 2.5 s of silence. Otherwise it counted the longest lease that there might be from its own start: 6.6 s, or 10.2 s after a leader that had released nothing, because that one might go on renewing leases for six seconds without the store. So a leader and a worker that ended together cost 12.4 s, and a leader that lived for less than a second let the next one begin anew. Ruled out by the timeline: leaders that end by themselves; avoided workers and crash records.

Change (module horizon): each heartbeat and each commit of the row of leases stores a time on the store's clock by which all leases of the leader end. A leader grants a lease only after its first commit of that row, which records the ends of the leases of all workers that have not answered it, and passes the former leader's horizon on until then. So no take-over moves the time. Leases end within 6.7 s after the heartbeat before. To outlast an outage of the store, a leader renews them beyond that only while most workers of the stored roster have accepted its epoch within 1.5 s; once most of them have answered a new leader, the former one has no witnesses. Silent workers are recorded at the first late or failed poll, unless heartbeats are overdue. A reservation stays on a worker that fails a poll or waits for such a commit.

Why it is safe: two majorities of one roster share a worker, which rejects the former leader once it has answered the next one; a worker that restarts counts only after a commit that was sent later.

--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -2,6 +2,7 @@
 
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
+from skylarklug.scheduler import horizon
 from skylarklug.scheduler import leases
 from skylarklug.scheduler import state as state_lib
 from skylarklug.scheduler import store
@@ -21,8 +22,7 @@
 TAKEOVER_TIMEOUT_MS = 2_400
 # A leader whose heartbeats get no answer keeps sending orders for this long.
 # Other commits do not count: only heartbeats delay the claims of other nodes.
-# With the last leases that it grants, tasks survive a store outage of about
-# ten seconds.
+# `horizon` tells for how long it renews leases.
 MAX_UNCONFIRMED_MS = 6_000
 # Random delay of a claim, so that nodes which detect the same silence do not
 # claim at the same time.
@@ -154,6 +154,8 @@
         # Leaders of earlier builds do not keep the row of leases, and do not
         # pass this field on.
         "leases_since": former.get("leases_since", epoch),
+        # The same for horizons.
+        "horizons_since": former.get("horizons_since", epoch),
     }
     if successor:
         value["successor"] = successor
@@ -333,15 +335,31 @@
     _write_owner(state, effects, value, None)
 
 
+def _inherited_horizon(state, first):
+    """Returns until when former leaders have granted leases, or None.
+
+    Called while `state.owner` is the row of the former leader. Leaders of
+    earlier builds store no horizon.
+    """
+    if first:
+        return horizon.NO_LEASES
+    since_epoch = state.owner.get("horizons_since")
+    if since_epoch is None or state.heartbeat.get("epoch", 0) < since_epoch:
+        return None
+    return horizon.decode(state.heartbeat.get("horizon"))
+
+
 def _start_leading(state, effects, epoch, answer, value, planned, first):
     leader = state_lib.LeaderState(epoch, answer.version, answer.sent_at)
     state.leader = leader
+    leader.inherited_horizon = _inherited_horizon(state, first)
     state.owner = value
     state.owner_version = answer.version
     state.owner_updated_at = state.now
     wait_ms = lease_ms(state.cfg)
     if not planned:
-        wait_ms += MAX_UNCONFIRMED_MS - TAKEOVER_TIMEOUT_MS
+        wait_ms += max(MAX_UNCONFIRMED_MS, horizon.MAX_RENEWAL_MS)
+    leader.planned = planned
     leader.settled_at = state.now + wait_ms
     leader.settled = first
     fields = {
@@ -363,6 +381,10 @@
 def _send_heartbeat(state, effects):
     leader = state.leader
     leader.heartbeat_pending = True
+    leases_from = state.now if leader.leases_from else 0
+    stored_horizon = leader.inherited_horizon
+    if leases_from:
+        stored_horizon = horizon.of_leader(state.store_clock, leases_from)
 
     def done(state, effects, answer):
         if state.leader is not leader:
@@ -371,6 +393,7 @@
         if answer.status == "ok":
             record_commit(state, answer)
             leader.heartbeat_at = max(leader.heartbeat_at, answer.sent_at)
+            leader.leases_from = max(leader.leases_from, leases_from)
             leader.heartbeat_due_at = answer.sent_at + HEARTBEAT_INTERVAL_MS
             if leader.worker_reached_at > answer.sent_at:
                 leader.heartbeat_due_at = state.now + REACHED_DELAY_MS
@@ -386,6 +409,7 @@
         "epoch": leader.epoch,
         "waiting": waiting,
         "settled": leader.settled,
+        "horizon": horizon.encode(stored_horizon),
     }
     store.commit(
         state,
--- a/packages/core/src/skylarklug/scheduler/leases.py
+++ b/packages/core/src/skylarklug/scheduler/leases.py
@@ -21,12 +21,14 @@
 KEY = "leases"
 # How a leader knows when a lease ends: it has granted it, a former leader has
 # recorded it for this worker, a former leader has recorded it for all of its
-# leases, or it is the end of the longest lease that there may be.
+# leases as it stopped, or with its heartbeats, or it is the end of the longest
+# lease that there may be.
 GRANTED = "granted"
 RECORDED = "recorded"
 RELEASED = "released"
+HORIZON = "horizon"
 LONGEST = "longest"
-SOURCES = (GRANTED, RECORDED, RELEASED, LONGEST)
+SOURCES = (GRANTED, RECORDED, RELEASED, HORIZON, LONGEST)
 # Maximum relative rate difference of two clocks, from the platform's protocol.
 CLOCK_DRIFT = 0.02
 # Most tasks that the row names; each takes about 40 bytes of 64 KiB. Workers
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -11,6 +11,7 @@
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import gangs
+from skylarklug.scheduler import horizon
 from skylarklug.scheduler import interference
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
@@ -185,7 +186,7 @@
             task.job.spec.payload,
             task.checkpoint,
             task.ticket,
-            worker.clock_now(state.now) + state.cfg.max_lease_ms,
+            worker.clock_now(state.now) + horizon.longest_lease_ms(state),
             ORDER_TIMEOUT_MS,
             capacity.starts_valid_until(state, worker),
         )
@@ -467,6 +468,8 @@
     effects.append(fx.Log("warning", "fenced", fields))
     leader.heartbeat_at = state.now - leadership.MAX_UNCONFIRMED_MS
     leader.heartbeat_due_at = 0
+    if leader.leases_from:
+        leader.leases_from = state.now - horizon.MAX_RENEWAL_MS
 
 
 # --------------------------------------------------------------------- tick
@@ -496,6 +499,8 @@
     leader = state.leader
     if not leader.unsent_starts or not leadership.may_send_orders(state):
         return
+    if not horizon.longest_lease_ms(state):
+        return
     for task in list(leader.unsent_starts.values()):
         if not _has_free_slot(leader):
             return
@@ -523,6 +528,8 @@
         return
     if worker.name in state.leader.expiring:
         return
+    if not horizon.longest_lease_ms(state):
+        return
     enforced = capacity.is_enforced(state, worker.entry.service)
     if not enforced and not capacity.is_current(state, worker):
         return
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -16,6 +16,7 @@
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
 from skylarklug.scheduler import gangs
+from skylarklug.scheduler import horizon
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
 from skylarklug.scheduler import order
@@ -68,6 +69,8 @@
     leader = state.leader
     enforced = capacity.is_enforced(state, service)
     found = []
+    if not horizon.longest_lease_ms(state):
+        return found
     for worker in leader.workers.values():
         entry = worker.entry
         if entry.service != service or entry.draining or not worker.listed:
--- a/packages/core/src/skylarklug/scheduler/reservations.py
+++ b/packages/core/src/skylarklug/scheduler/reservations.py
@@ -185,6 +185,10 @@
     if state.leader.reviews_left <= MAX_REVIEWS // 2:
         # The rest is for tasks that have no reservation yet.
         return True
+    worker = state.leader.workers[reservation.worker]
+    if worker.failed_polls or worker.name in state.leader.expiring:
+        # It gets no starts for a moment, but `update` has kept it.
+        return True
     return _is_refused_only(state, task, reservation)
 
 
--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -10,6 +10,7 @@
 from skylarklug.scheduler import crashes
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import ends
+from skylarklug.scheduler import horizon
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
 from skylarklug.scheduler import leases
@@ -26,11 +27,16 @@
 ROSTER_RETRY_MS = 200
 # Interval at which the roster is compared with the workers.
 ROSTER_CHECK_INTERVAL_MS = 100
-# A new leader records the ends of leases of listed workers that have not
-# answered it for this long.
-FIRST_ANSWER_MS = 1_000
-# The same for workers that have answered it. A worker whose last lease is
-# recorded gets the next one only after a commit, and the store may be away.
+# A new leader waits this long for workers to answer before its first commit,
+# which records the ends of the leases of those that have not.
+FIRST_COMMIT_MS = 100
+# Minimum time between two commits that a start or a lease waits for.
+URGENT_INTERVAL_MS = 50
+# Minimum time before a commit that records the end of a lease.
+RECORD_INTERVAL_MS = 200
+# The end of the last lease of a worker that has not answered for this long is
+# recorded while the store may be away. A worker whose last lease is recorded
+# gets the next one only after a commit.
 SILENT_WORKER_MS = 2_500
 # The workers that have not answered a new leader are logged after this time.
 UNREACHED_LOG_MS = 1_000
@@ -101,12 +107,38 @@
     return bool(workers_that_may_run(leader, key))
 
 
+def _note_majority(state):
+    """Bounds the former leaders' leases once they have no witnesses left."""
+    leader = state.leader
+    former_horizon = leader.former_horizon
+    if former_horizon is None or leader.horizon_applied:
+        return
+    if not leader.majority_at:
+        if 2 * len(leader.reached_names) <= len(leader.former_names):
+            return
+        leader.majority_at = state.now
+    leader.horizon_applied = True
+    reading = state.store_clock
+    witnessed_at = leader.majority_at + former_horizon.witnessed_ms
+    store_ms = max(
+        former_horizon.until, leases.latest_store_ms(reading, witnessed_at)
+    )
+    store_ms = min(store_ms, former_horizon.latest)
+    at = leases.reached_at(reading, store_ms)
+    expiry = leases.Expiry(at, None, store_ms, leases.HORIZON)
+    for name, former in leader.former_workers.items():
+        if former.expiry.source == leases.HORIZON:
+            leader.former_workers[name] = former._replace(expiry=expiry)
+            leader.expiries_changed = True
+
+
 def settle(state, effects):
     """Ends the wait for workers that have answered or hold no lease.
 
     The leader has settled when no worker is left.
     """
     leader = state.leader
+    _note_majority(state)
     for name, former in list(leader.former_workers.items()):
         worker = leader.workers[name]
         # Former leaders sent no order to another address than that in the
@@ -133,7 +165,9 @@
     released = 0
     for job in leader.jobs.values():
         for task in job.tasks.values():
-            released += task.held and not task.worker
+            if task.held and not task.worker:
+                released += 1
+                task.wait_reason = ""
             task.held = False
             if not task.worker and crashes.is_exhausted(task):
                 exhausted.append(task)
@@ -207,15 +241,21 @@
     if stopping and (not worker.listed or not leader.settled):
         return True
     if worker.fenced and not worker.failed_polls:
-        return False
+        return _is_late(state, worker)
     if stopping or not worker.listed:
         return True
-    former = leader.former_workers.get(worker.name)
-    if former is None:
+    if worker.name in leader.former_workers:
+        return True
+    if horizon.is_overdue(state):
         return state.now >= worker.answered_at + SILENT_WORKER_MS
-    # What a former leader has recorded stays in the row.
-    is_recorded = former.expiry.store_ms > 0
-    return is_recorded or state.now >= leader.since + FIRST_ANSWER_MS
+    return True
+
+
+def _is_late(state, worker):
+    """Returns whether the answer to the poll in flight is late."""
+    if not worker.poll_pending or horizon.is_overdue(state):
+        return False
+    return state.now >= worker.answer_due_at
 
 
 def _expiry(state, worker):
@@ -246,7 +286,9 @@
     reading = state.store_clock
     if not reading.store_ms:
         expiries, release = {}, None
-    return leases.encode(reading, state.leader.epoch, expiries, release)
+    value = leases.encode(reading, state.leader.epoch, expiries, release)
+    value["horizon"] = horizon.encode(horizon.of_leader(reading, state.now))
+    return value
 
 
 # ------------------------------------------------------------------- saving
@@ -260,6 +302,8 @@
     leader = state.leader
     if leader.roster_saving or state.now < leader.roster_due_at:
         return
+    if not leader.leases_from and _awaits_first_answers(state):
+        return
     if not leader.roster_changed and state.now < leader.roster_check_at:
         return
     leader.roster_changed = False
@@ -267,19 +311,39 @@
     kept, expiries = _kept_workers(state)
     addresses = {worker.name: worker.entry.address for worker in kept}
     expiring = frozenset(expiries)
-    if addresses == leader.roster_saved and expiring == leader.expiries_saved:
+    if (
+        addresses == leader.roster_saved
+        and expiring == leader.expiries_saved
+        and leader.leases_from
+        and not leader.expiries_changed
+    ):
         return
-    due_at = leader.roster_saved_at + ROSTER_SHRINK_INTERVAL_MS
-    if state.now < due_at and not _is_urgent(leader, addresses, expiring):
+    interval_ms = _save_interval_ms(leader, addresses, expiring)
+    if leader.leases_from and state.now < leader.roster_saved_at + interval_ms:
+        # It is compared again soon.
         return
     _commit(state, effects, kept, addresses, expiries)
 
 
-def _is_urgent(leader, addresses, expiring):
-    """Returns whether a worker needs the commit for a start or a lease."""
+def _awaits_first_answers(state):
+    """Returns whether workers may still answer before the first commit."""
+    leader = state.leader
+    if not leader.former_workers:
+        return False
+    return state.now < leader.loaded_at + FIRST_COMMIT_MS
+
+
+def _save_interval_ms(leader, addresses, expiring):
+    """Returns how soon after the last commit the next one may be sent."""
     if leader.expiries_saved is None or leader.expiries_saved - expiring:
-        return True
-    return not addresses.items() <= leader.roster_saved.items()
+        # A worker waits for it to get a lease.
+        return URGENT_INTERVAL_MS
+    if not addresses.items() <= leader.roster_saved.items():
+        # A worker waits for it to get a start.
+        return URGENT_INTERVAL_MS
+    if expiring != leader.expiries_saved or leader.expiries_changed:
+        return RECORD_INTERVAL_MS
+    return ROSTER_SHRINK_INTERVAL_MS
 
 
 def _commit(state, effects, kept, addresses, expiries):
@@ -289,6 +353,11 @@
     # The commit may take effect although its answer is lost.
     leader.expiring |= expiring
     leader.expiries_saved = None
+    leader.expiries_changed = False
+    leases_from = state.now
+    names = frozenset(addresses)
+    if names not in leader.stored_rosters:
+        leader.stored_rosters.append(names)
     leader.roster_saved = dict(addresses.items() & leader.roster_saved.items())
     roster = {}
     for worker in kept:
@@ -304,7 +373,12 @@
             leader.roster_version = answer.version
             leader.roster_saved = addresses
             leader.roster_saved_at = state.now
-            for name in leader.expiring - expiring:
+            leader.stored_rosters = [names]
+            waiting = leader.expiring - expiring
+            if not leader.leases_from:
+                waiting = leader.workers.keys() - expiring
+            leader.leases_from = max(leader.leases_from, leases_from)
+            for name in waiting:
                 # It has waited for this commit to get a lease.
                 if name in leader.workers:
                     leader.workers[name].poll_due_at = state.now
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -264,6 +264,9 @@
         lease_granted_at: When the latest order that renews its lease was
             sent.
         answered_at: When it last answered.
+        asked_at: When the latest poll was sent that its current incarnation
+            has answered.
+        answer_due_at: When the poll in flight should have been answered.
         answered_address: Address at which its current incarnation answered.
         reached_at: When its current incarnation first answered.
         poll_pending: Whether a poll is in flight.
@@ -283,6 +286,8 @@
         "allowed_shares",
         "answered_at",
         "answered_address",
+        "answer_due_at",
+        "asked_at",
         "recent_failures",
         "announced_at",
         "false_incarnation",
@@ -342,6 +347,8 @@
         self.later_ends: set[int] = set()
         self.lease_granted_at = 0
         self.answered_at = 0
+        self.asked_at = 0
+        self.answer_due_at = 0
         self.answered_address = ""
         self.reached_at = 0
         self.poll_pending = False
@@ -380,6 +387,22 @@
         confirmed_at: When the latest successful commit was sent.
         heartbeat_at: When the latest successful heartbeat, or the claim, was
             sent.
+        leases_from: From when on the longest leases that it may grant count,
+            as the store has it; 0 as long as it may grant none.
+        inherited_horizon: Until when the leases of former leaders last, as the
+            heartbeats of the last one tell; None if that is not known.
+        former_horizon: The same by all rows that tell it.
+        former_names: The workers in the stored roster when it took over.
+        reached_names: Those of them that have answered it.
+        majority_at: When most of them had; 0 before.
+        planned: Whether the process that led before is known to have ended, and
+            no leader before it can send orders.
+        horizon_applied: Whether `former_horizon` has been shortened by it.
+        expiries_changed: Whether the ends of leases that are stored have to be
+            stored again.
+        loaded_at: When it had read all state of former leaders; 0 before.
+        stored_rosters: Names of the workers in the rosters of which one is
+            stored.
         settled_at: When leases of all runs of former leaders have expired.
         settled: Whether no unknown run of a former leader can exist.
         loaded: Tables that have been read completely.
@@ -453,6 +476,17 @@
         self.since = now
         self.confirmed_at = now
         self.heartbeat_at = now
+        self.leases_from = 0
+        self.inherited_horizon: Any = None
+        self.former_horizon: Any = None
+        self.former_names: frozenset[str] = frozenset()
+        self.reached_names: set[str] = set()
+        self.majority_at = 0
+        self.planned = False
+        self.horizon_applied = False
+        self.expiries_changed = False
+        self.loaded_at = 0
+        self.stored_rosters: list[frozenset[str]] = []
         self.successor = ""
         self.successor_capacity = 0.0
         self.worker_reached_at = 0
--- a/packages/core/src/skylarklug/scheduler/takeover.py
+++ b/packages/core/src/skylarklug/scheduler/takeover.py
@@ -3,6 +3,7 @@
 import collections
 
 from skylarklug.scheduler import effects as fx
+from skylarklug.scheduler import horizon
 from skylarklug.scheduler import leases
 from skylarklug.scheduler import store
 
@@ -39,6 +40,8 @@
         for row in answer.rows:
             leader.former_workers = _decode_roster(row.value, leader.settled_at)
             leader.roster_version = row.version
+        leader.former_names = frozenset(leader.former_workers)
+        leader.stored_rosters = [leader.former_names]
         leader.loaded.add("roster")
         # The ends of leases refer to the workers of the roster.
         store.read(state, effects, leases.TABLE, leases.KEY, on_leases)
@@ -54,6 +57,7 @@
                 state, effects, leader, store.clock_reading(answer), row
             )
         leader.loaded.add("leases")
+        leader.loaded_at = state.now
         _log_read(state, effects, leader)
 
     store.read(state, effects, "work", "", on_work)
@@ -70,6 +74,25 @@
     return roster
 
 
+def _known_horizon(state, leader, value):
+    """Returns until when the leases of all former leaders last, or None.
+
+    A leader grants leases only after it has changed the row of leases, and
+    moves its horizon there and with its heartbeats.
+    """
+    since_epoch = state.owner.get("horizons_since", leader.epoch)
+    written_in = value["epoch"]
+    if not since_epoch <= written_in < leader.epoch:
+        return None
+    stored = horizon.decode(value.get("horizon"))
+    if stored is None or leader.inherited_horizon is None:
+        return None
+    if leader.planned and written_in == leader.epoch - 1:
+        # The process that granted them has ended.
+        leader.majority_at = leader.since - horizon.WITNESS_AGE_MS
+    return horizon.later(stored, leader.inherited_horizon)
+
+
 def _log_read(state, effects, leader):
     """Logs how the ends of the former leaders' leases are known."""
     counts = collections.Counter()
@@ -103,10 +126,15 @@
         fields = {"key": row.key, "reason": repr(exc)}
         effects.append(fx.Log("error", "row-unreadable", fields))
         return
+    leader.former_horizon = _known_horizon(state, leader, row.value)
     for name, former in leader.former_workers.items():
         expiry = expiries.get(name)
         if expiry is None and former_release is not None:
             expiry = former_release.expiry
+        if expiry is None and leader.former_horizon is not None:
+            store_ms = leader.former_horizon.latest
+            at = leases.reached_at(reading, store_ms)
+            expiry = leases.Expiry(at, None, store_ms, leases.HORIZON)
         if expiry is not None:
             leader.former_workers[name] = former._replace(expiry=expiry)
     if former_release is not None:
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -6,6 +6,7 @@
 from skylarklug.scheduler import ends
 from skylarklug.scheduler import events
 from skylarklug.scheduler import gangs
+from skylarklug.scheduler import horizon
 from skylarklug.scheduler import interference
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
@@ -19,6 +20,8 @@
 POLL_WAIT_MS = 1_000
 # Added to the wait of a poll to get its timeout.
 POLL_TIMEOUT_MARGIN_MS = 600
+# A poll that is not answered this long after the end of its wait is late.
+LATE_ANSWER_MS = 300
 # Pause between two polls. Runs that end within it are reported in one answer.
 POLL_PAUSE_MS = 30
 # Each failed poll adds this much to the timeout of the next one, up to
@@ -198,13 +201,18 @@
     lease_until = 0
     wait_ms = 0
     is_answering = worker.is_responsive(state.now) and not worker.failed_polls
-    if is_answering and worker.name not in state.leader.expiring:
+    if is_answering and not _awaits_commit(state.leader, worker):
         # An unresponsive worker gets no new lease, so that its tasks can be
         # restarted elsewhere as early as possible.
-        lease_until = worker.clock_now(state.now) + state.cfg.max_lease_ms
-        worker.lease_granted_at = state.now
+        lease_ms = horizon.longest_lease_ms(state)
+        if lease_ms:
+            lease_until = worker.clock_now(state.now) + lease_ms
+            worker.lease_granted_at = state.now
         if not ends.must_keep_ends(worker):
             wait_ms = POLL_WAIT_MS
+            if horizon.is_overdue(state):
+                wait_ms = horizon.WITNESS_WAIT_MS
+    worker.answer_due_at = state.now + wait_ms + LATE_ANSWER_MS
     timeout_ms = min(
         MAX_POLL_TIMEOUT_MS,
         wait_ms
@@ -226,6 +234,11 @@
     )
 
 
+def _awaits_commit(leader, worker):
+    """Returns whether a worker gets no lease before the next commit."""
+    return not leader.leases_from or worker.name in leader.expiring
+
+
 def _on_polled(state, event, effects):
     leader = state.leader
     if leader is None:
@@ -262,7 +275,12 @@
     worker.fenced = True
     worker.failed_polls = 0
     worker.clock = (event.clock_ms, state.now)
+    worker.asked_at = event.sent_at
     worker.answered_at = state.now
+    if worker.name in leader.former_names:
+        leader.reached_names.add(worker.name)
+    if worker.name in leader.expiring:
+        leader.roster_changed = True
     worker.answered_address = worker.entry.address
     worker.record_change(leader)
     _save_crashes(state, effects, crashes.take_back(leader, worker))
@@ -274,8 +292,10 @@
         leader.placement_requested = True
         leader.roster_changed = True
         worker.poll_due_at = state.now
-        if worker.name in leader.expiring:
+        if _awaits_commit(leader, worker):
             worker.poll_due_at += roster.UNEXPIRED_POLL_DELAY_MS
+    elif _awaits_commit(leader, worker):
+        worker.poll_due_at = state.now + roster.UNEXPIRED_POLL_DELAY_MS
     elif ends.must_keep_ends(worker):
         worker.poll_due_at = state.now + UNSAVED_POLL_PAUSE_MS
     else:
@@ -468,7 +488,7 @@
     if "workers" not in leader.loaded:
         return
     roster.add_former_workers(state)
-    if not leadership.may_send_orders(state):
+    if not leadership.may_send_orders(state) and not horizon.is_renewing(state):
         return
     for worker in crashes.likely_crashed(state):
         _record_crash(state, effects, worker, lost=False, proven=False)
