--- a/tests/scheduler/leader_series.py
+++ b/tests/scheduler/leader_series.py
@@ -218,10 +218,26 @@
 # -------------------------------------------------------------- ends of runs
 
 
+def sound_workers(sim):
+    found = []
+    for name, worker in sim.workers.items():
+        if name not in sim.silent_workers and not worker.draining:
+            found.append(worker)
+    return found
+
+
 def fail(sim, key=KEY):
     long_running.fail_run(sim, key)
 
 
+def fail_beside_gone_worker(sim, key=KEY):
+    """Lets the run fail as another worker ends for good, still listed."""
+    worker = long_running.worker_of(sim, key)
+    others = [other for other in sound_workers(sim) if other is not worker]
+    takeovers.remove_worker(sim, others[0], listed=True)
+    fail(sim, key)
+
+
 def crash_and_return(sim, key=KEY):
     """Crashes the worker, which returns under its name and address."""
     sim.names_return = True
@@ -300,7 +316,10 @@
     stop_run,
     reject_starts,
     drain,
+    fail_beside_gone_worker,
 )
+# Random plays have such pairs of ends by themselves.
+RANDOM_ENDS = RUN_ENDS[:-1]
 # After these the worker does not return.
 FINAL_ENDS = (remove, unlist, drain)
 # The worker of the run crashes.
@@ -409,17 +428,9 @@
         yield rng.randint(500, 7_500), rng.choice(list(WAYS))
 
 
-def sound_workers(sim):
-    found = []
-    for name, worker in sim.workers.items():
-        if name not in sim.silent_workers and not worker.draining:
-            found.append(worker)
-    return found
-
-
 def end_random_run(sim, rng, keys, crashes):
     """Ends a run if enough sound workers are left; returns how, and which."""
-    end_run = rng.choice(RUN_ENDS)
+    end_run = rng.choice(RANDOM_ENDS)
     key = rng.choice(keys)
     worker = long_running.worker_of(sim, key)
     if worker not in sound_workers(sim):
--- a/tests/scheduler/test_leader_series.py
+++ b/tests/scheduler/test_leader_series.py
@@ -34,6 +34,14 @@
         """Guards against a failed task that waits anew with each leader."""
         leader_series.check(deployment, how, leader_series.fail)
 
+    @EACH_WAY
+    def test_failed_task_waits_for_another_worker(self, deployment, how):
+        """Guards against a failed task that waits for the lease of a worker
+        that is gone for good and has never run it."""
+        leader_series.check(
+            deployment, how, leader_series.fail_beside_gone_worker
+        )
+
     @FULL_FLEETS
     def test_failed_task_waits_for_room(self, deployment, how):
         """Guards against the same while short tasks take all room."""
