Record long-running tasks without a run for later leaders

Callers saw long-running tasks wait for 10 to 17 s over two or more leaders although no worker was silent any more, and others that had lost their runs later start first.

Cause: what a leader knew of a wait ended with it. Its successor counted all tasks that no worker had reported yet as idle since the acceptance of their jobs, so that age no longer told who waited; it held waiting tasks for any worker that did not answer, as it could not tell them from running ones; and it began to look for room for a held task only once the hold had ended.

Change (module idle_records): the row of leases names the tasks that have waited for 0.4 s, with the end of their last run on the store's clock, and whether they run nowhere. Such a task starts only after a commit that has removed this, and is not held by a later leader. Tasks that no record names count as idle from the last time at which the former leader had their runs, those of a silent worker from its last lease on. Held tasks get reservations like those of silent workers. Once a hold ends, overdue tasks are placed before all others again. A commit of the roster without an answer is read back, so that a lost answer does not keep a task from starting.

--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -7,6 +7,7 @@
 from skylarklug.scheduler import crashes
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
+from skylarklug.scheduler import idle_records
 from skylarklug.scheduler import intake
 from skylarklug.scheduler import interference_model
 from skylarklug.scheduler import order
@@ -264,6 +265,8 @@
             task.last_run_at = task.waiting_since
             if job.started:
                 task.last_end = state_lib.UNKNOWN_END
+                if step.runs_until_cancelled:
+                    idle_records.restore(leader, task, leader.former_run_at)
             job.tasks[key] = task
     for number, step in enumerate(job.spec.steps):
         if _is_ready(job, occurrence, step):
--- a/packages/core/src/skylarklug/scheduler/orders.py
+++ b/packages/core/src/skylarklug/scheduler/orders.py
@@ -305,6 +305,7 @@
     interference.record_run_change(state, worker, task)
     leader.unconfirmed.pop(task.key, None)
     leader.unsent_starts.pop(task.key, None)
+    leader.idle_released.pop(task.key, None)
     leader.placement_requested = True
     worker.record_change(leader)
     job = task.job
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -17,6 +17,7 @@
 from skylarklug.scheduler import events
 from skylarklug.scheduler import gangs
 from skylarklug.scheduler import horizon
+from skylarklug.scheduler import idle_records
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
 from skylarklug.scheduler import order
@@ -297,6 +298,10 @@
         )
     ):
         return False
+    if not idle_records.may_start(state, task):
+        reservations.hold(state, task, worker)
+        task.wait_reason = waiting.RECORDED
+        return True
     jobs.dequeue(state.leader, task)
     attempt = orders.next_attempt(state.leader, task)
     _start(state, effects, task, worker, attempt)
@@ -456,7 +461,13 @@
     search = None
     for task in list(group.values()):
         if task.key in leader.reservations:
-            continue
+            if restarts.is_overdue(state, task):
+                continue
+            if task.key in leader.idle_recorded:
+                continue
+            # Its room was only kept until its record was removed.
+            reservations.release(leader, task.key)
+            search = None
         if not _may_start(state, task):
             continue
         if not orders.may_start_more(leader):
@@ -479,6 +490,11 @@
             if scoring.is_short(task.step):
                 preemption.preempt_for(state, effects, task, candidates)
             return False
+        if not idle_records.may_start(state, task):
+            reservations.hold(state, task, worker)
+            search = None
+            task.wait_reason = waiting.RECORDED
+            continue
         jobs.dequeue(leader, task)
         attempt = orders.next_attempt(leader, task)
         _start(state, effects, task, worker, attempt)
@@ -546,6 +562,10 @@
         orders.free_resources(worker, task)
     if len(chosen) < len(members):
         return
+    unrecorded = [idle_records.may_start(state, task) for task in members]
+    if not all(unrecorded):
+        first.wait_reason = waiting.RECORDED
+        return
     checkpoint = _common_checkpoint(members)
     for task, worker in chosen:
         jobs.dequeue(leader, task)
--- a/packages/core/src/skylarklug/scheduler/reservations.py
+++ b/packages/core/src/skylarklug/scheduler/reservations.py
@@ -15,6 +15,7 @@
 from skylarklug.scheduler import restarts
 from skylarklug.scheduler import scoring
 from skylarklug.scheduler import state as state_lib
+from skylarklug.scheduler import waiting
 
 # Maximum share of the resources of all workers that reservations hold, except
 # for tasks that have been idle for `restarts.URGENT_MS`. One is always allowed.
@@ -68,6 +69,9 @@
     if task.job.state in records.FINAL_STATES:
         return False
     if task.status == state_lib.WAITING:
+        if task.key in state.leader.idle_released:
+            # It starts after the next commit.
+            return True
         return restarts.is_overdue(state, task)
     if task.status == state_lib.STARTING:
         # The worker may still refuse the start.
@@ -136,6 +140,16 @@
                 continue
             if task.step.runs_until_cancelled:
                 found.append(task)
+    for group in state.leader.ready.values():
+        first = next(iter(group.values()))
+        if not first.step.runs_until_cancelled or first.step.gang:
+            continue
+        for task in group.values():
+            # A former leader may have started it on a worker that is silent.
+            if not task.held or task.wait_reason != waiting.NOT_SETTLED:
+                continue
+            if restarts.idle_ms(state, task) >= SILENCE_MS:
+                found.append(task)
     return found
 
 
@@ -175,6 +189,24 @@
     return True
 
 
+def hold(state, task, worker):
+    """Keeps the room of a worker on which a task fits until it may start."""
+    leader = state.leader
+    reservation = leader.reservations.get(task.key)
+    if reservation is not None and reservation.worker == worker.name:
+        return
+    release(leader, task.key)
+    _add(state, task, worker)
+
+
+def _add(state, task, worker):
+    leader = state.leader
+    leader.reservations[task.key] = Reservation(
+        task, worker.name, _largest_share(leader, task), state.now
+    )
+    worker.reservations[task.key] = orders.counted_resources(task.step)
+
+
 def keeps_reservation(state, task) -> bool:
     """Returns whether the reservation of a task need not be reviewed now."""
     reservation = state.leader.reservations.get(task.key)
@@ -193,7 +225,6 @@
 
 
 def _reserve_worker(state, task, candidates):
-    leader = state.leader
     usable = []
     for worker in candidates:
         if _is_open(worker) and not worker.failed_polls:
@@ -210,10 +241,7 @@
         worker = _first_ready(state, task, usable)
     if worker is None:
         return False
-    leader.reservations[task.key] = Reservation(
-        task, worker.name, _largest_share(leader, task), state.now
-    )
-    worker.reservations[task.key] = orders.counted_resources(task.step)
+    _add(state, task, worker)
     return True
 
 
--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -7,10 +7,13 @@
 still run there are not started elsewhere.
 """
 
+from typing import NamedTuple
+
 from skylarklug.scheduler import crashes
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import ends
 from skylarklug.scheduler import horizon
+from skylarklug.scheduler import idle_records
 from skylarklug.scheduler import jobs
 from skylarklug.scheduler import leadership
 from skylarklug.scheduler import leases
@@ -158,6 +161,8 @@
             leader.unreached.append(name)
         del leader.former_workers[name]
         leader.placement_requested = True
+        # Overdue tasks that were held must not lose their room to others.
+        leader.overdue_due_at = state.now
     if leader.former_workers:
         return
     leader.settled = True
@@ -282,12 +287,15 @@
     return kept, leases.limit_tasks(expiries)
 
 
-def _encode_expiries(state, expiries, release=None):
+def _encode_expiries(state, expiries, idle, release=None):
     reading = state.store_clock
     if not reading.store_ms:
         expiries, release = {}, None
     value = leases.encode(reading, state.leader.epoch, expiries, release)
     value["horizon"] = horizon.encode(horizon.of_leader(reading, state.now))
+    value["idle"] = idle_records.encode(
+        reading, idle if reading.store_ms else {}
+    )
     return value
 
 
@@ -311,18 +319,21 @@
     kept, expiries = _kept_workers(state)
     addresses = {worker.name: worker.entry.address for worker in kept}
     expiring = frozenset(expiries)
+    idle = idle_records.tasks_to_record(state, may_run_unseen)
     if (
         addresses == leader.roster_saved
         and expiring == leader.expiries_saved
         and leader.leases_from
         and not leader.expiries_changed
+        and idle_records.keys_that_run_nowhere(idle) == leader.idle_saved
+        and idle.keys() == leader.idle_known
     ):
         return
-    interval_ms = _save_interval_ms(leader, addresses, expiring)
+    interval_ms = _save_interval_ms(leader, addresses, expiring, idle)
     if leader.leases_from and state.now < leader.roster_saved_at + interval_ms:
         # It is compared again soon.
         return
-    _commit(state, effects, kept, addresses, expiries)
+    _commit(state, effects, kept, addresses, expiries, idle)
 
 
 def _awaits_first_answers(state):
@@ -333,7 +344,7 @@
     return state.now < leader.loaded_at + FIRST_COMMIT_MS
 
 
-def _save_interval_ms(leader, addresses, expiring):
+def _save_interval_ms(leader, addresses, expiring, idle):
     """Returns how soon after the last commit the next one may be sent."""
     if leader.expiries_saved is None or leader.expiries_saved - expiring:
         # A worker waits for it to get a lease.
@@ -341,20 +352,51 @@
     if not addresses.items() <= leader.roster_saved.items():
         # A worker waits for it to get a start.
         return URGENT_INTERVAL_MS
+    if not leader.idle_released.keys().isdisjoint(leader.idle_saved):
+        # A task waits for it to start.
+        return 0
     if expiring != leader.expiries_saved or leader.expiries_changed:
         return RECORD_INTERVAL_MS
+    if idle.keys() - leader.idle_known:
+        return RECORD_INTERVAL_MS
     return ROSTER_SHRINK_INTERVAL_MS
 
 
-def _commit(state, effects, kept, addresses, expiries):
+class Saved(NamedTuple):
+    """What a commit of the roster and of the row of leases says.
+
+    Attributes:
+        number: Number of the commit, which the row names.
+        addresses: Address by worker.
+        expiring: Workers whose last lease's end it records.
+        idle: Records of tasks that run nowhere, by task.
+        leases_from: When it was made; longer leases than before may be granted
+            from then on.
+    """
+
+    number: int
+    addresses: dict[str, str]
+    expiring: frozenset[str]
+    idle: dict[records.TaskKey, idle_records.IdleRecord]
+    leases_from: int
+
+
+def _commit(state, effects, kept, addresses, expiries, idle):
     leader = state.leader
     leader.roster_saving = True
-    expiring = frozenset(expiries)
+    leader.roster_number += 1
+    saved = Saved(
+        leader.roster_number,
+        addresses,
+        frozenset(expiries),
+        idle,
+        state.now,
+    )
     # The commit may take effect although its answer is lost.
-    leader.expiring |= expiring
+    leader.expiring |= saved.expiring
     leader.expiries_saved = None
     leader.expiries_changed = False
-    leases_from = state.now
+    idle_records.note_commit(leader, idle)
     names = frozenset(addresses)
     if names not in leader.stored_rosters:
         leader.stored_rosters.append(names)
@@ -363,31 +405,21 @@
     for worker in kept:
         entry = worker.entry
         roster[worker.name] = [entry.address, entry.service, entry.zone]
+    value = _encode_expiries(state, expiries, idle)
+    value["number"] = saved.number
 
     def done(state, effects, answer):
         if state.leader is not leader:
             return
+        if answer.status == "unknown":
+            _read_back(state, effects, answer, saved)
+            return
         leader.roster_saving = False
         if answer.status == "ok":
             leadership.record_commit(state, answer)
-            leader.roster_version = answer.version
-            leader.roster_saved = addresses
-            leader.roster_saved_at = state.now
-            leader.stored_rosters = [names]
-            waiting = leader.expiring - expiring
-            if not leader.leases_from:
-                waiting = leader.workers.keys() - expiring
-            leader.leases_from = max(leader.leases_from, leases_from)
-            for name in waiting:
-                # It has waited for this commit to get a lease.
-                if name in leader.workers:
-                    leader.workers[name].poll_due_at = state.now
-            leader.expiries_saved = expiring
-            leader.expiring = expiring
-            leader.placement_requested = True
+            _on_committed(state, saved, answer.version)
             return
-        leader.roster_changed = True
-        leader.roster_due_at = state.now + ROSTER_RETRY_MS
+        _repeat_later(state)
         if answer.status != "conflict":
             return
         if not leadership.check_conflict(state, effects, answer):
@@ -407,14 +439,58 @@
         ],
         [
             fx.Write(leadership.TABLE, leadership.ROSTER, roster),
-            fx.Write(
-                leases.TABLE, leases.KEY, _encode_expiries(state, expiries)
-            ),
+            fx.Write(leases.TABLE, leases.KEY, value),
         ],
         done,
     )
 
 
+def _read_back(state, effects, unknown, saved):
+    """Finds out whether a commit without an answer has taken effect."""
+    leader = state.leader
+
+    def done(state, effects, answer):
+        if state.leader is not leader:
+            return
+        leader.roster_saving = False
+        for row in answer.rows:
+            value = row.value or {}
+            written = value.get("epoch"), value.get("number")
+            if written == (leader.epoch, saved.number):
+                leadership.record_commit(state, unknown)
+                _on_committed(state, saved, row.version)
+                return
+        _repeat_later(state)
+
+    store.read(state, effects, leases.TABLE, leases.KEY, done)
+
+
+def _repeat_later(state):
+    leader = state.leader
+    leader.roster_changed = True
+    leader.roster_due_at = state.now + ROSTER_RETRY_MS
+
+
+def _on_committed(state, saved, version):
+    leader = state.leader
+    leader.roster_version = version
+    leader.roster_saved = saved.addresses
+    leader.roster_saved_at = state.now
+    leader.stored_rosters = [frozenset(saved.addresses)]
+    idle_records.note_committed(state, saved.idle)
+    waiting = leader.expiring - saved.expiring
+    if not leader.leases_from:
+        waiting = leader.workers.keys() - saved.expiring
+    leader.leases_from = max(leader.leases_from, saved.leases_from)
+    for name in waiting:
+        # It has waited for this commit to get a lease.
+        if name in leader.workers:
+            leader.workers[name].poll_due_at = state.now
+    leader.expiries_saved = saved.expiring
+    leader.expiring = saved.expiring
+    leader.placement_requested = True
+
+
 def release(state, effects, done, successor=""):
     """Releases the leadership, with the ends of all leases it has granted."""
     leader = state.leader
@@ -425,7 +501,8 @@
             # It cannot run anything, but is still in the stored roster.
             expiries[name] = leases.Expiry(state.now, frozenset())
         record = _release_record(state, expiries)
-        value = _encode_expiries(state, expiries, record)
+        idle = idle_records.tasks_to_record(state, may_run_unseen)
+        value = _encode_expiries(state, expiries, idle, record)
         writes.append(fx.Write(leases.TABLE, leases.KEY, value))
     leadership.release(state, effects, done, successor, writes)
 
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -400,6 +400,15 @@
         horizon_applied: Whether `former_horizon` has been shortened by it.
         expiries_changed: Whether the ends of leases that are stored have to be
             stored again.
+        idle_inherited: What former leaders have recorded on tasks without a
+            run, by task.
+        idle_known: The tasks in the latest commit of such records.
+        idle_saved: Those of them that it says to run nowhere.
+        idle_recorded: The tasks of which a stored record may say so.
+        idle_released: When a record was changed so that its task may start, by
+            task.
+        former_run_at: When the former leader last had runs of the tasks that it
+            had not recorded.
         loaded_at: When it had read all state of former leaders; 0 before.
         stored_rosters: Names of the workers in the rosters of which one is
             stored.
@@ -451,6 +460,7 @@
         unreached: Former workers whose leases ended without an answer.
         unreached_logged: Whether those without an answer have been logged.
         roster_saved: Address by worker, as in the committed roster.
+        roster_number: Number of its latest commit of the roster.
         roster_changed: Whether a worker has answered that may need an entry.
         expiries_saved: Workers for which the store has the end of the last
             lease; None if that is not known.
@@ -485,6 +495,12 @@
         self.planned = False
         self.horizon_applied = False
         self.expiries_changed = False
+        self.idle_inherited: dict[records.TaskKey, Any] = {}
+        self.idle_known: frozenset[records.TaskKey] = frozenset()
+        self.idle_saved: frozenset[records.TaskKey] = frozenset()
+        self.idle_recorded: set[records.TaskKey] = set()
+        self.idle_released: dict[records.TaskKey, int] = {}
+        self.former_run_at = now
         self.loaded_at = 0
         self.stored_rosters: list[frozenset[str]] = []
         self.successor = ""
@@ -539,6 +555,7 @@
         self.waiting_tasks: frozenset[records.TaskKey] = frozenset()
         self.unreached: list[str] = []
         self.unreached_logged = False
+        self.roster_number = 0
         self.roster_changed = False
         self.expiries_saved: frozenset[str] | None = frozenset()
         self.expiring: frozenset[str] = frozenset()
--- a/packages/core/src/skylarklug/scheduler/takeover.py
+++ b/packages/core/src/skylarklug/scheduler/takeover.py
@@ -4,7 +4,9 @@
 
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import horizon
+from skylarklug.scheduler import idle_records
 from skylarklug.scheduler import leases
+from skylarklug.scheduler import state as state_lib
 from skylarklug.scheduler import store
 
 
@@ -111,6 +113,18 @@
     effects.append(fx.Log("info", "takeover-read", fields))
 
 
+def _idle_on_silent_workers(expiries):
+    """Returns since when tasks of silent workers may be without a run."""
+    found = {}
+    for expiry in expiries.values():
+        granted_at = expiry.at - horizon.LIMIT_MS
+        for key in expiry.tasks or ():
+            found[key] = idle_records.IdleRecord(
+                granted_at, granted_at, state_lib.UNKNOWN_END, False
+            )
+    return found
+
+
 def _shorten_waits(state, effects, leader, reading, row):
     """Applies what the former leaders have recorded on the ends of leases."""
     since_epoch = state.owner.get("leases_since", leader.epoch)
@@ -118,6 +132,9 @@
         expiries, former_release = leases.decode(
             reading, row.value, leader.epoch, since_epoch
         )
+        idle = {}
+        if since_epoch <= row.value["epoch"] < leader.epoch:
+            idle = idle_records.decode(reading, row.value.get("idle", ()))
     except (AttributeError, KeyError, TypeError, ValueError) as exc:
         # A later leader may be able to read it, so it holds for any worker
         # until this leader has written another one.
@@ -127,6 +144,9 @@
         effects.append(fx.Log("error", "row-unreadable", fields))
         return
     leader.former_horizon = _known_horizon(state, leader, row.value)
+    if leader.former_horizon is not None:
+        until_at = leases.reached_at(reading, leader.former_horizon.until)
+        leader.former_run_at = min(state.now, until_at - horizon.LIMIT_MS)
     for name, former in leader.former_workers.items():
         expiry = expiries.get(name)
         if expiry is None and former_release is not None:
@@ -140,5 +160,9 @@
     if former_release is not None:
         leader.unsaved_jobs = former_release.unsaved_jobs
         leader.waiting_tasks = former_release.waiting
+    leader.idle_inherited = {**_idle_on_silent_workers(expiries), **idle}
+    leader.idle_saved = idle_records.keys_that_run_nowhere(idle)
+    leader.idle_recorded = set(leader.idle_saved)
+    leader.waiting_tasks |= leader.idle_saved
     leader.expiring = frozenset(expiries)
     leader.expiries_saved = leader.expiring
--- a/packages/core/src/skylarklug/scheduler/waiting.py
+++ b/packages/core/src/skylarklug/scheduler/waiting.py
@@ -4,6 +4,8 @@
 NOT_RECORDED = "start-not-recorded"
 # A former leader may have started it on a worker that has not answered yet.
 NOT_SETTLED = "leader-not-settled"
+# The store may still say that it waits, and a later leader would start it.
+RECORDED = "recorded-as-waiting"
 # It is not due yet, or was just refused or failed.
 DELAYED = "delayed"
 # Other members of its gang are not ready, or do not fit.
@@ -31,6 +33,7 @@
 ALL = (
     NOT_RECORDED,
     NOT_SETTLED,
+    RECORDED,
     DELAYED,
     GANG,
     ORDERS,
