Take over at once from a leader whose process has exited

Cause: a node took over from a leader that had released nothing only after 2.4 s without a heartbeat, also if the leader's process was killed, whose host closes its connections at once. While leaders are killed every few seconds, this adds to the time for which long-running tasks are without a run.

Change: each node listens at the second port of port_range and publishes the address in the row `owner` (`address`). The others keep a TCP connection to it. If it ends and the host then refuses another one, the event LeaderExited makes a node claim after the random delay only. A refused first connection, a timeout and a reset with the listener alive raise nothing; the timeout of heartbeats remains for hosts without power and for cuts.

A refused connection does not prove that the leader has ended. Its successor claims before the timeout, so that the former leader may use its permission for longer after the claim. The successor adds this time to its wait for leases and for the machine API, and stores it in the row (`claimed_early_ms`) for the next one.

--- a/packages/core/src/skylarklug/scheduler/effects.py
+++ b/packages/core/src/skylarklug/scheduler/effects.py
@@ -73,6 +73,17 @@
     table: str
 
 
+class WatchLeader(NamedTuple):
+    """Report the exit of the process that leads in `epoch`.
+
+    `address` is its watch address, "host:port"; empty for no process. Replaces
+    the former effect.
+    """
+
+    address: str
+    epoch: int
+
+
 class PollWorker(NamedTuple):
     """Renew a worker's lease and fetch its runs and the ends of runs.
 
--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -114,6 +114,16 @@
     rows: tuple[Row, ...]
 
 
+class LeaderExited(NamedTuple):
+    """Nothing listens at the watch address of the leader of `epoch` any more.
+
+    The leader may still run if a link refuses connections.
+    """
+
+    at: int
+    epoch: int
+
+
 class FeedFailed(NamedTuple):
     """A watched table could not be read; the read is repeated."""
 
--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -74,13 +74,14 @@
     """Returns until when no other leader sends orders to the machine API.
 
     Unlike workers, that API may accept the orders of two leaders in turn. A
-    leader stops sending them before another one can claim, and the next one
-    waits for `machine_lease_ms` before its first one. Returns 0 while this
-    node must wait.
+    leader stops sending them at the timeout of its heartbeats, and the next
+    one waits for `machine_lease_ms` from then on. Returns 0 while this node
+    must wait.
     """
     leader = state.leader
     if leader.epoch > 1:
-        if state.now < leader.since + state.cfg.machine_lease_ms:
+        wait_ms = state.cfg.machine_lease_ms + leader.claimed_early_ms
+        if state.now < leader.since + wait_ms:
             return 0
     return leader.heartbeat_at + TAKEOVER_TIMEOUT_MS
 
@@ -149,6 +150,7 @@
         "incarnation": state.cfg.incarnation,
         "epoch": epoch,
         "released": released,
+        "address": state.cfg.watch_address,
         "capacity": state.cfg.capacity,
         "largest": max(state.cfg.capacity, _largest_capacity(state)),
         # Leaders of earlier builds do not keep the row of leases, and do not
@@ -203,6 +205,15 @@
             step_down(state, effects, "another node took over")
 
 
+def _on_leader_exited(state, event, effects):
+    if _is_free(state) or state.owner.get("epoch") != event.epoch:
+        return
+    state.exited_epoch = event.epoch
+    state.claim_due_at = state.now + _claim_delay_ms(state)
+    fields = {"epoch": event.epoch, "leader": state.owner["node"]}
+    effects.append(fx.Log("info", "leader-exited", fields))
+
+
 def _is_free(state):
     """Returns whether the former leader is known to have stopped.
 
@@ -253,14 +264,32 @@
         return False
     if _is_free(state):
         return True
-    silence_ms = state.now - state.owner_updated_at
-    if silence_ms < TAKEOVER_TIMEOUT_MS:
+    has_exited = state.owner.get("epoch") == state.exited_epoch
+    if _until_timeout_ms(state) and not has_exited:
         return False
     # A node that gets no answers from the store cannot tell whether the leader
     # is silent or the node itself is cut off.
     return state.now - state.leadership_read_at < TAKEOVER_TIMEOUT_MS
 
 
+def _until_timeout_ms(state):
+    """Returns the time left until the timeout of the owner's heartbeats."""
+    silence_ms = state.now - state.owner_updated_at
+    return max(0, TAKEOVER_TIMEOUT_MS - silence_ms)
+
+
+def _claimed_early_ms(state):
+    """Returns how long before its timeout a leader that may be alive loses.
+
+    One that is free but has not settled may have replaced such a leader.
+    """
+    if not _is_free(state):
+        return _until_timeout_ms(state)
+    if _has_settled(state):
+        return 0
+    return state.owner.get("claimed_early_ms", 0)
+
+
 def _claim(state, effects):
     if not state.claim_due_at:
         state.claim_due_at = state.now + _claim_delay_ms(state)
@@ -271,6 +300,7 @@
         return
     epoch = (state.owner or {}).get("epoch", 0) + 1
     value = _owner_value(state, epoch, released=False)
+    value["claimed_early_ms"] = _claimed_early_ms(state)
     former = state.owner
     planned = _is_free(state) and _has_settled(state)
 
@@ -339,9 +369,11 @@
     state.owner = value
     state.owner_version = answer.version
     state.owner_updated_at = state.now
+    leader.claimed_early_ms = value["claimed_early_ms"]
     wait_ms = lease_ms(state.cfg)
     if not planned:
         wait_ms += MAX_UNCONFIRMED_MS - TAKEOVER_TIMEOUT_MS
+        wait_ms += leader.claimed_early_ms
     leader.settled_at = state.now + wait_ms
     leader.settled = first
     fields = {
@@ -419,6 +451,7 @@
     value = _owner_value(state, leader.epoch, True, successor)
     value["largest"] = max(value["largest"], leader.successor_capacity)
     value["settled"] = leader.settled
+    value["claimed_early_ms"] = leader.claimed_early_ms
     store.commit(
         state,
         effects,
@@ -464,6 +497,7 @@
 
 
 HANDLERS = {
+    events.LeaderExited: _on_leader_exited,
     events.RowsChanged: _on_rows,
     events.Tick: _on_tick,
 }
--- a/packages/core/src/skylarklug/scheduler/records.py
+++ b/packages/core/src/skylarklug/scheduler/records.py
@@ -249,6 +249,8 @@
             machine API may rely on no other leader sending one.
         entry_notice_ms: Age that the known entry of a worker may have when a
             task starts by it.
+        watch_address: The "host:port" to which other nodes connect in order to
+            detect the exit of this process; empty for none.
     """
 
     node: str
@@ -260,3 +262,4 @@
     capacity: float = 1.0
     machine_lease_ms: int = 3_000
     entry_notice_ms: int = 3_000
+    watch_address: str = ""
--- a/packages/core/src/skylarklug/scheduler/reducer.py
+++ b/packages/core/src/skylarklug/scheduler/reducer.py
@@ -2,6 +2,7 @@
 
 from skylarklug.scheduler import advice
 from skylarklug.scheduler import effects as fx
+from skylarklug.scheduler import exits
 from skylarklug.scheduler import handover
 from skylarklug.scheduler import intake
 from skylarklug.scheduler import jobs
@@ -24,6 +25,7 @@
     store,
     leadership,
     succession,
+    exits,
     intake,
     jobs,
     orders,
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -382,6 +382,8 @@
             sent.
         settled_at: When leases of all runs of former leaders have expired.
         settled: Whether no unknown run of a former leader can exist.
+        claimed_early_ms: How long before the timeout of heartbeats the former
+            leader, or an unsettled one before it, was replaced.
         loaded: Tables that have been read completely.
         closed_jobs: When jobs were removed after their end, by name.
         dirty: Jobs whose `work` row must be written.
@@ -461,6 +463,7 @@
         self.entries_read_at = now
         self.settled_at = 0
         self.settled = False
+        self.claimed_early_ms = 0
         self.loaded: set[str] = set()
         self.jobs: dict[str, Job] = {}
         self.closed_jobs: dict[str, int] = {}
@@ -544,6 +547,10 @@
         self.owner_version = 0
         self.owner_updated_at = 0
         self.leadership_read_at = -1
+        # Epoch of the latest leader that seems to have exited; -1 for none.
+        self.exited_epoch = -1
+        # Watch address and epoch of the leader whose exit is reported.
+        self.watched_leader = ("", 0)
         # Since when the store has not served this node; 0 while it does.
         self.store_lost_at = 0
         # When the store last served this node, and when it last did so after
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -36,6 +36,7 @@
             `stop_accepting`, `close_idle`, `close_connections`.
         advice: Has `request`.
         machines: Has `list`, `begin_maintenance`.
+        leader: Has `watch`.
         rows: Converts rows of a watched table to events.
     """
 
@@ -44,6 +45,7 @@
     callers: Any
     advice: Any
     machines: Any
+    leader: Any
     rows: Any
 
 
@@ -102,6 +104,7 @@
             fx.StopKeepAlive: self._stop_keep_alive,
             fx.StopRun: self._stop_run,
             fx.UnwatchTable: self._unwatch_table,
+            fx.WatchLeader: self._watch_leader,
         }
 
     async def run(self, ports: Ports, tables) -> None:
@@ -244,6 +247,9 @@
         if feed is not None:
             feed.stop()
 
+    def _watch_leader(self, effect):
+        self._ports.leader.watch(effect.address, effect.epoch)
+
     def _on_rows(self, table, is_snapshot, rows):
         for event in self._ports.rows(boot_ms(), table, is_snapshot, rows):
             self.dispatch(event)
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -7,6 +7,23 @@
 from skylarklug_platform import settings
 
 
+class TestWatchAddress:
+    @pytest.mark.parametrize(
+        "ports, address",
+        [
+            ([7_720, 7_735], "127.0.0.1:7721"),
+            ([7_720, 7_721], "127.0.0.1:7721"),
+            ([7_720, 7_720], ""),
+            ([7_720, 7_719], ""),
+        ],
+    )
+    def test_second_port(self, ports, address):
+        """Guards against a port outside the range, or that of the metrics."""
+        content = standin.settings("a:1", "b:2", "c:3", ports)
+        cfg = settings.parse(json.dumps(content), 5)
+        assert cfg.core.watch_address == address
+
+
 class TestSettingsFile:
     @pytest.mark.parametrize(
         "section, fields",
