Wait for conditions instead of times in the tests of exits

Cause: tests of the watch of an exit waited for fixed times until a process was connected, so that a busy machine could fail them.

Change: the process under test says when it is connected, and the pace of attempts is measured between them. No logic changes.

--- a/packages/node/src/skylarklugd/exit_watch.py
+++ b/packages/node/src/skylarklugd/exit_watch.py
@@ -167,11 +167,9 @@
     Raises:
         OSError: It could not be opened.
     """
+    loop = asyncio.get_running_loop()
     async with asyncio.timeout(CONNECT_TIMEOUT_S):
-        (
-            transport,
-            connection,
-        ) = await asyncio.get_running_loop().create_connection(
+        transport, connection = await loop.create_connection(
             _Connection, host, port
         )
     try:
--- a/tests/node/test_exit_watch.py
+++ b/tests/node/test_exit_watch.py
@@ -14,7 +14,8 @@
 # Limit of each wait, generous for a busy machine. A wait ends as soon as its
 # condition holds.
 TIMEOUT_S = 20
-# A process that listens at a port of its own and prints it.
+# A process that listens at a port of its own and prints it, and a line when
+# another process has connected.
 LISTENING_PROCESS = textwrap.dedent(
     """
     import asyncio
@@ -24,6 +25,9 @@
         listener = exit_watch.Listener()
         await listener.start("127.0.0.1:0")
         print(listener.port, flush=True)
+        while not listener.connection_count:
+            await asyncio.sleep(0.01)
+        print("connected", flush=True)
         await asyncio.sleep(60)
 
     asyncio.run(listen())
@@ -39,6 +43,16 @@
     await asyncio.wait_for(loop(), TIMEOUT_S)
 
 
+def is_closed(sock):
+    """Returns whether the other end has closed a connection."""
+    try:
+        return sock.recv(1, socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except ConnectionResetError:
+        return True
+
+
 def free_port():
     with socket.socket() as bound:
         bound.bind((HOST, 0))
@@ -110,7 +124,8 @@
         async def scenario(case):
             with listening_process() as (process, port):
                 case.watcher.watch(f"{HOST}:{port}", 7)
-                await asyncio.sleep(0.7)
+                await asyncio.to_thread(process.stdout.readline)
+                await asyncio.sleep(exit_watch.CONNECT_INTERVAL_S)
                 assert case.exits == []
                 process.kill()
                 await wait_until(lambda: case.exits)
@@ -236,20 +251,25 @@
         connections and ends them."""
 
         async def scenario(case):
-            accepted = []
+            loop = asyncio.get_running_loop()
+            accepted_at = []
 
             def accept(reader, writer):
                 del reader
-                accepted.append(writer)
+                accepted_at.append(loop.time())
                 writer.transport.abort()
 
             server = await asyncio.start_server(accept, HOST, 0)
             port = server.sockets[0].getsockname()[1]
+            started_at = loop.time()
             case.watcher.watch(f"{HOST}:{port}", 7)
-            await asyncio.sleep(3 * exit_watch.CONNECT_INTERVAL_S)
+            await wait_until(lambda: len(accepted_at) >= 4)
             server.close()
-            assert 2 <= len(accepted) <= 4
             assert case.exits == []
+            assert (
+                accepted_at[3] - started_at
+                >= 3 * exit_watch.CONNECT_INTERVAL_S - 0.01
+            )
 
         run_case(scenario)
 
@@ -263,14 +283,15 @@
         async def scenario(case):
             listener = await case.listen()
             with contextlib.ExitStack() as stack:
+                sockets = []
                 for _ in range(6):
-                    stack.enter_context(
-                        socket.create_connection((HOST, listener.port))
-                    )
-                    await asyncio.sleep(0.02)
-                await wait_until(lambda: listener.connection_count == 3)
+                    sock = socket.create_connection((HOST, listener.port))
+                    sockets.append(stack.enter_context(sock))
+                await wait_until(lambda: is_closed(sockets[2]))
+                assert not is_closed(sockets[3])
                 case.watcher.watch(f"{HOST}:{listener.port}", 7)
-                await asyncio.sleep(0.2)
+                await wait_until(lambda: is_closed(sockets[3]))
+                assert not is_closed(sockets[4])
                 assert listener.connection_count == 3
                 listener.close()
                 await wait_until(lambda: case.exits)
