--- a/packages/core/src/skylarklug/scheduler/exits.py
+++ b/packages/core/src/skylarklug/scheduler/exits.py
@@ -1,4 +1,4 @@
-"""Watches the process of the leader for its exit.
+"""Detects that the process of the leader has exited.
 
 Load pattern: leaders are killed every few seconds. The host of a process that
 has ended refuses connections at once, whereas its heartbeats time out after
@@ -10,12 +10,18 @@
 from skylarklug.scheduler import leadership
 
 
-def _process_to_watch(state):
-    """Returns the watch address and the epoch of another node that leads."""
+def _is_other_leader(state):
+    """Returns whether another node leads that has not released."""
     owner = state.owner
     if owner is None or owner.get("released"):
-        return "", 0
-    if owner.get("node") == state.cfg.node:
+        return False
+    return owner.get("node") != state.cfg.node
+
+
+def _process_to_watch(state):
+    """Returns the watch address and the epoch of the leader."""
+    owner = state.owner
+    if not _is_other_leader(state):
         return "", 0
     # Rows of earlier builds have no address.
     address = owner.get("address")
@@ -33,4 +39,16 @@
         effects.append(fx.WatchLeader(*watched))
 
 
-HANDLERS = {events.RowsChanged: _on_rows}
+def _on_leader_exited(state, event, effects):
+    if not _is_other_leader(state) or state.owner.get("epoch") != event.epoch:
+        return
+    state.exited_epoch = event.epoch
+    state.claim_due_at = state.now + leadership.claim_delay_ms(state)
+    fields = {"epoch": event.epoch, "leader": state.owner["node"]}
+    effects.append(fx.Log("info", "leader-exited", fields))
+
+
+HANDLERS = {
+    events.LeaderExited: _on_leader_exited,
+    events.RowsChanged: _on_rows,
+}
--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -205,15 +205,6 @@
             step_down(state, effects, "another node took over")
 
 
-def _on_leader_exited(state, event, effects):
-    if _is_free(state) or state.owner.get("epoch") != event.epoch:
-        return
-    state.exited_epoch = event.epoch
-    state.claim_due_at = state.now + _claim_delay_ms(state)
-    fields = {"epoch": event.epoch, "leader": state.owner["node"]}
-    effects.append(fx.Log("info", "leader-exited", fields))
-
-
 def _is_free(state):
     """Returns whether the former leader is known to have stopped.
 
@@ -238,7 +229,7 @@
     return bool(state.heartbeat.get("settled"))
 
 
-def _claim_delay_ms(state):
+def claim_delay_ms(state):
     """Returns a random delay, which is longer for small VMs."""
     jitter_ms = CLAIM_JITTER_MS
     if _is_free(state):
@@ -292,7 +283,7 @@
 
 def _claim(state, effects):
     if not state.claim_due_at:
-        state.claim_due_at = state.now + _claim_delay_ms(state)
+        state.claim_due_at = state.now + claim_delay_ms(state)
         if state.claim_due_at > state.now:
             return
     if _must_release_first(state):
@@ -497,7 +488,6 @@
 
 
 HANDLERS = {
-    events.LeaderExited: _on_leader_exited,
     events.RowsChanged: _on_rows,
     events.Tick: _on_tick,
 }
