Tell the next leader that the process of the former one has ended

Cause: a process that starts again on the node of a killed leader used to claim first, as it knows that the former one has ended, so that it waits for leases only (8.85 s in virtual time for a task whose worker was lost with the leader).

Change: a claim that replaces a settled leader names it in the row `owner` (`former`). The next process on that node writes the row `ended`, and the leader then waits no longer than a planned take-over from then on. It does not hold for leaders before the former one, so only a settled leader is named.

--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -13,6 +13,7 @@
 HEARTBEAT = "beat"
 ROSTER = "roster"
 CANDIDATE = "candidate"
+ENDED = "ended"
 
 # Each heartbeat costs one write, and one answer to every node that watches
 # the table.
@@ -293,6 +294,8 @@
     value = _owner_value(state, epoch, released=False)
     value["claimed_early_ms"] = _claimed_early_ms(state)
     former = state.owner
+    if not _is_free(state) and _has_settled(state):
+        value["former"] = [former["node"], former.get("incarnation")]
     planned = _is_free(state) and _has_settled(state)
 
     def done(state, effects, answer):
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -549,6 +549,8 @@
         self.leadership_read_at = -1
         # Epoch of the latest leader that seems to have exited; -1 for none.
         self.exited_epoch = -1
+        # Epoch of the leader that was told that its predecessor has ended.
+        self.told_epoch = -1
         # Watch address and epoch of the leader whose exit is reported.
         self.watched_leader = ("", 0)
         # Since when the store has not served this node; 0 while it does.
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -106,8 +106,8 @@
     `modes` maps nodes to "refuse" (calls fail without effect), "silent" (calls
     get no answer and have no effect), "lose" (commits take effect, but their
     answers are lost), "late" (commits get no answer and take effect `late_ms`
-    later if their checks still hold) or "no heartbeats" (only heartbeats get no
-    answer and have no effect).
+    later if their checks still hold), "no heartbeats" (only heartbeats get no
+    answer and have no effect) or "refuse writes" (only commits fail).
     """
 
     def __init__(self, sim):
@@ -125,7 +125,7 @@
 
     def commit(self, node, effect):
         mode = self.modes.get(node.name, "ok")
-        if mode == "refuse":
+        if mode in ("refuse", "refuse writes"):
             return "refused", 0, ()
         if mode == "silent":
             return "unknown", 0, ()
--- a/tests/scheduler/test_leader_exit.py
+++ b/tests/scheduler/test_leader_exit.py
@@ -95,6 +95,66 @@
         )
 
 
+class TestRestartedProcess:
+    """The killed leader's process restarts after another node took over."""
+
+    def lose_leader_and_worker(self, sim):
+        """Ends the leader and a worker at once.
+
+        Returns the leader, the task of the worker, and when they ended.
+        """
+        tasks = takeovers.run_lasting_job(sim, 3)
+        name = max(tasks)
+        former = sim.leader()
+        takeovers.remove_worker(sim, sim.workers[name], listed=True)
+        sim.kill(former.name)
+        return former, tasks[name], sim.now
+
+    @pytest.mark.parametrize("restart_ms", (600, 2_100))
+    def test_worker_that_was_lost_with_it(self, deployment, restart_ms):
+        """Guards against a long-running task that waits for more than 9 s: its
+        worker and the leader crashed together, and the next leader counts the
+        leases of a process that has ended as if it might renew them."""
+        sim = deployment(workers=5)
+        former, key, lost_at = self.lose_leader_and_worker(sim)
+        sim.run(restart_ms)
+        assert sim.leader().name != former.name
+        sim.add_node(former.name)
+        sim.run(20_000)
+        until = lost_at + takeovers.LOST_MS
+        takeovers.assert_started(sim, key, lost_at, until)
+        assert sim.leader().state.leader.epoch == 2
+        assert not sim.find_problems()
+
+    def test_report_is_repeated(self, deployment):
+        """Guards against the same if the store refuses the first report."""
+        sim = deployment(workers=5)
+        former, key, lost_at = self.lose_leader_and_worker(sim)
+        sim.run(600)
+        sim.add_node(former.name)
+        sim.store.modes[former.name] = "refuse writes"
+        sim.run(500)
+        sim.store.modes.clear()
+        sim.run(20_000)
+        until = lost_at + takeovers.LOST_MS
+        takeovers.assert_started(sim, key, lost_at, until)
+
+    def test_report_does_not_hold_for_earlier_leaders(self, deployment):
+        """Guards against a second run of a task that an earlier leader, cut
+        off from the store, keeps running: only its successor has ended."""
+        sim = deployment(nodes=4, workers=3)
+        case = TestLiveLeader()
+        case.replace_leader(sim)
+        second = sim.leader()
+        sim.kill(second.name)
+        while sim.leader().state.leader.epoch < 3:
+            sim.run(1)
+        assert sim.leader().name != second.name
+        sim.add_node(second.name)
+        sim.cut_links.add((second.name, case.reached))
+        case.check(sim)
+
+
 class TestSilentLeader:
     def check(self, sim, former):
         """Asserts that the timeout of heartbeats is waited for, and no more."""
