Add no wait for the drift of clocks to a wait that is known to be shorter

Cause: the random play of take-overs with seed 9263 (exits noticed) failed: long-running tasks ran 17 ms after the limit of 13.6 s from the kill of a leader. Its successor stopped before it had settled. The end of a lease went through two readings of the store's clock, each with 2% of possible drift, so that the third leader waited until 69,673 ms for a worker although all leases of former leaders had ended at 69,258 ms, as it knew. It also counted the time by which the second leader had claimed early from its own claim.

Change: a new leader waits for the earlier of the two times. A leader that releases stores only what is left of the time by which it had claimed early.

Measured: seed 9263 passes with both changes; it joins the default seeds.

--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -445,7 +445,8 @@
     value = _owner_value(state, leader.epoch, True, successor)
     value["largest"] = max(value["largest"], leader.successor_capacity)
     value["settled"] = leader.settled
-    value["claimed_early_ms"] = leader.claimed_early_ms
+    led_ms = state.now - leader.since
+    value["claimed_early_ms"] = max(0, leader.claimed_early_ms - led_ms)
     store.commit(
         state,
         effects,
--- a/packages/core/src/skylarklug/scheduler/takeover.py
+++ b/packages/core/src/skylarklug/scheduler/takeover.py
@@ -87,6 +87,9 @@
         if expiry is None and former_release is not None:
             expiry = former_release.expiry
         if expiry is not None:
+            # Each reading of a clock adds its possible drift.
+            at = min(expiry.at, former.expiry.at)
+            expiry = expiry._replace(at=at)
             leader.former_workers[name] = former._replace(expiry=expiry)
     if former_release is not None:
         leader.unsaved_jobs = former_release.unsaved_jobs
--- a/tests/scheduler/test_random_takeovers.py
+++ b/tests/scheduler/test_random_takeovers.py
@@ -15,9 +15,9 @@
 import scheduler_fakes as fakes
 import takeovers
 
-# The last three found tasks that waited for workers of former leaders, one of
-# them with planned work only.
-DEFAULT_SEEDS = (1, 2, 3, 4, 5, 15, 22, 52, 7012)
+# The last four found tasks that waited for workers of former leaders, one of
+# them with planned work only, and one if exits are noticed.
+DEFAULT_SEEDS = (1, 2, 3, 4, 5, 15, 22, 52, 7012, 9263)
 NODES = 4
 WORKERS = 8
 LASTING_JOBS = 3
