--- a/tests/scheduler/leader_series.py
+++ b/tests/scheduler/leader_series.py
@@ -91,7 +91,7 @@
 
 def lose_power(sim, leader):
     """Ends the host without a word; a node of another name joins."""
-    sim.kill(leader.name)
+    sim.lose_node_power(leader.name)
     add_node_later(sim)
 
 
