Soak real processes whose leaders end in series

No test of ours runs more than one process of the scheduler, and none ends a leader by a signal.

`tests/platform/soak` runs five nodes and a spare with stand-ins of the store and of twelve workers, fills half of them with 24 long-running tasks and the rest with short ones. Six to eight leaders in a row get SIGKILL, SIGTERM or SIGSTOP, while workers crash, are silent, go for good or fail a run. It reports each long-running task that is without a run for over 9 s, as the workers saw it, with the leaders meanwhile, and each task that runs twice at a time.

The stand-in of the store now sends `now_ms` with rows and changes too, as the platform does, so the adapter knows its clock; changes are found by bisection, and a server can be opened again on its port.

--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -6,7 +6,9 @@
 
 import asyncio
 import base64
+import bisect
 import json
+import operator
 import time
 
 from tornado import httpserver
@@ -27,18 +29,22 @@
 
 
 class Server:
-    """Listens on a free port, records requests and passes them to `handle`."""
+    """Listens on a port, records requests and passes them to `handle`."""
 
-    def __init__(self):
-        (sock, *_) = netutil.bind_sockets(0, "127.0.0.1")
-        self.address = f"127.0.0.1:{sock.getsockname()[1]}"
-        self.server = httpserver.HTTPServer(self.on_request)
-        self.server.add_socket(sock)
+    def __init__(self, port=0):
+        self.open(port)
         self.requests = []
         # Status of all responses, "silent" to send none, or 0 to handle the
         # request.
         self.fault = 0
 
+    def open(self, port=0):
+        """Listens on a port; 0 selects a free one."""
+        (sock, *_) = netutil.bind_sockets(port, "127.0.0.1")
+        self.address = f"127.0.0.1:{sock.getsockname()[1]}"
+        self.server = httpserver.HTTPServer(self.on_request)
+        self.server.add_socket(sock)
+
     def on_request(self, req):
         body = json.loads(req.body) if req.body else None
         self.requests.append((req.method, req.path, dict(req.headers), body))
@@ -52,6 +58,11 @@
     def close(self):
         self.server.stop()
 
+    def disconnect(self):
+        """Closes all connections as well."""
+        self.close()
+        asyncio.ensure_future(self.server.close_all_connections())
+
 
 class Store(Server):
     """Stores rows; supports transactions, scans by page and change feeds."""
@@ -60,7 +71,8 @@
         super().__init__()
         self.rows = {}
         self.ver = 0
-        self.history = []
+        # Changed rows in the order of their versions, by table.
+        self.history = {}
         self.dropped_version = 0
         self.page = page
         self.changed = asyncio.Event()
@@ -69,6 +81,12 @@
         self.ver += 1
         self.write(table, part, key, json.dumps(value).encode())
 
+    def remove(self, table, part, key):
+        del self.rows[table, part, key]
+        self.ver += 1
+        row = {"table": table, "part": part, "key": key, "ver": self.ver}
+        self.append_change({**row, "tombstone": True})
+
     def write(self, table, part, key, raw):
         row = {
             "table": table,
@@ -81,7 +99,7 @@
         self.append_change(row)
 
     def append_change(self, row):
-        self.history.append(row)
+        self.history.setdefault(row["table"], []).append(row)
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -132,7 +150,7 @@
         size = min(limit, self.page)
         more = len(found) > size
         fields = {"rows": found[:size], "has_more": more, "ver": self.ver}
-        respond(req, 200, fields)
+        respond(req, 200, {**fields, "now_ms": now_ms()})
 
     async def feed(self, req):
         table = req.arguments["table"][0].decode()
@@ -142,14 +160,14 @@
             respond(req, 410, {})
             return
         while True:
-            rows = [
-                row
-                for row in self.history
-                if row["table"] == table and row["ver"] > after
-            ]
+            changes = self.history.get(table, [])
+            start = bisect.bisect_right(
+                changes, after, key=operator.itemgetter("ver")
+            )
             left = (end - now_ms()) / 1000
-            if rows or left <= 0:
-                respond(req, 200, {"rows": rows, "ver": self.ver})
+            if start < len(changes) or left <= 0:
+                fields = {"rows": changes[start:], "ver": self.ver}
+                respond(req, 200, {**fields, "now_ms": now_ms()})
                 return
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
--- /dev/null
+++ b/tests/platform/soak/faults.py
@@ -0,0 +1,106 @@
+"""Seeded faults of leaders and workers, and how they are carried out."""
+
+import asyncio
+import random
+import signal
+from typing import NamedTuple
+
+from tests.platform.soak import workers
+
+LEADERS = (6, 8)
+LEADER_INTERVAL_S = (4.5, 5.5)
+LEADER_FAULTS = ("kill", "kill", "kill", "kill", "term", "freeze", "replace")
+RESTART_S = 0.7
+FREEZE_S = 4.0
+# Faults of workers near one of a leader, and their time from it.
+WORKER_FAULTS = ("crash", "crash", "crash", "silence", "silence", "leave")
+WORKERS_AT_ONCE = (0, 1, 1, 2, 2, 3)
+FAILURES_AT_ONCE = (0, 1, 2, 3)
+WORKER_OFFSET_S = (-1.0, 0.3)
+ABSENCE_S = (0.3, 4.0)
+SILENCE_S = (0.6, 8.0)
+# The workers that are left have room for all long-running tasks.
+MAX_AWAY = 3
+LEADER_TIMEOUT_S = 15.0
+
+
+class Fault(NamedTuple):
+    """A fault; `pick` in [0, 1) selects its subject among those possible."""
+
+    at: float
+    kind: str
+    pick: float = 0.0
+    seconds: float = 0.0
+    hangs: bool = False  # Connections hang meanwhile, instead of being refused.
+    moves: bool = False  # The worker returns at another address.
+
+
+def plan(seed):
+    """Returns the faults of a seed in the order of their times."""
+    rng = random.Random(seed)
+    faults = []
+    at = 2.0
+    for _ in range(rng.randint(*LEADERS)):
+        faults.append(Fault(at, rng.choice(LEADER_FAULTS)))
+        kinds = ["fail"] * rng.choice(FAILURES_AT_ONCE)
+        kinds += rng.choices(WORKER_FAULTS, k=rng.choice(WORKERS_AT_ONCE))
+        for kind in kinds:
+            begin = at + rng.uniform(*WORKER_OFFSET_S)
+            limits = SILENCE_S if kind == "silence" else ABSENCE_S
+            how = rng.uniform(*limits), rng.random() < 0.5, rng.random() < 0.3
+            faults.append(Fault(begin, kind, rng.random(), *how))
+        at += rng.uniform(*LEADER_INTERVAL_S)
+    return sorted(faults)
+
+
+async def apply(fleet, fault):
+    """Carries out a fault; returns when its subject is back."""
+    if fault.kind in LEADER_FAULTS:
+        await _fault_leader(fleet, fault.kind)
+        return
+    present = [worker for worker in fleet.workers if not worker.busy]
+    if fault.kind == "fail":
+        runs = [run for worker in present for run in worker.runs.values()]
+        runs = [run for run in runs if run.is_long]
+        if runs:
+            run = runs[int(fault.pick * len(runs))]
+            run.due_at, run.outcome = 0, "failed"
+    elif len(present) + MAX_AWAY > len(fleet.workers):
+        worker = present[int(fault.pick * len(present))]
+        fleet.ledger.note(f"{worker.name} {fault}")
+        worker.busy = True
+        await _fault_worker(fleet, worker, fault)
+        worker.busy = False
+
+
+async def _fault_leader(fleet, kind):
+    async with asyncio.timeout(LEADER_TIMEOUT_S):
+        while (node := fleet.find_leader()) is None:
+            await asyncio.sleep(0.02)
+    fleet.ledger.note(f"{node.name} leads, gets {kind}")
+    if kind == "freeze":
+        await node.freeze(FREEZE_S)
+        return
+    await node.end(signal.SIGTERM if kind == "term" else signal.SIGKILL)
+    if kind == "replace":
+        fleet.spares.append(node)
+        node = fleet.spares.pop(0)
+    await asyncio.sleep(RESTART_S)
+    await node.start()
+
+
+async def _fault_worker(fleet, worker, fault):
+    if fault.kind == "silence":
+        worker.hangs = True
+        await asyncio.sleep(fault.seconds)
+        worker.hangs = False
+        return
+    worker.crash(fault.hangs)
+    await asyncio.sleep(fault.seconds)
+    if fault.kind == "crash":
+        worker.disconnect()
+        worker.begin(workers.free_address() if fault.moves else worker.address)
+        return
+    fleet.workers.remove(worker)
+    fleet.gone.append(worker)
+    fleet.add_worker()
