Show when each leader of the soak settled, and test its report

The soak read the key `heartbeat` instead of `beat`, so its report said of every leader that it had not settled. The report also had no test: the scheduler lets no task run twice, so a soak that overlooks it would pass.

The report now gives the time from each claim until the leader reports that it has settled. A test has it find one wait and one overlap.

--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -12,7 +12,6 @@
 LEADER_FAULTS = ("kill", "kill", "kill", "kill", "term", "freeze", "replace")
 RESTART_S = 0.7
 FREEZE_S = 4.0
-# Faults of workers near one of a leader, and their time from it.
 WORKER_FAULTS = ("crash", "crash", "crash", "silence", "silence", "leave")
 WORKERS_AT_ONCE = (0, 1, 1, 2, 2, 3)
 FAILURES_AT_ONCE = (0, 1, 2, 3)
@@ -52,12 +51,10 @@
 
 
 async def apply(fleet, fault):
-    """Carries out a fault; returns when its subject is back."""
+    present = [worker for worker in fleet.workers if not worker.busy]
     if fault.kind in LEADER_FAULTS:
         await _fault_leader(fleet, fault.kind)
-        return
-    present = [worker for worker in fleet.workers if not worker.busy]
-    if fault.kind == "fail":
+    elif fault.kind == "fail":
         runs = [run for worker in present for run in worker.runs.values()]
         runs = [run for run in runs if run.is_long]
         if runs:
--- a/tests/platform/soak/ledger.py
+++ b/tests/platform/soak/ledger.py
@@ -4,7 +4,7 @@
 import operator
 import time
 
-# Longest time that a long-running task may be without a run.
+# Longest time that the platform allows a long-running task to be without a run.
 MAX_IDLE_S = 9.0
 
 
@@ -52,7 +52,7 @@
 
     def on_leadership(self, key, value):
         now = time.monotonic()
-        if key == "heartbeat" and value["settled"]:
+        if key == "beat" and value["settled"]:
             self.settled_at.setdefault(value["epoch"], now)
         if key == "owner" and not value["released"]:
             self.leaders.append((value["epoch"], value["node"], now))
@@ -83,7 +83,6 @@
 
 
 def _describe_leaders(ledger, start, end):
-    """Returns who led between two times, since when, and when it settled."""
     texts = []
     replaced_at = math.inf
     for epoch, node, claimed_at in reversed(ledger.leaders):
@@ -114,10 +113,9 @@
     for seconds, last, until in late:
         start = last.ended_at - ledger.began_at
         leaders = _describe_leaders(ledger, last.ended_at, until)
-        end = " (no run since)" if until == math.inf else ""
-        lines.append(
-            f"LATE {seconds:.2f} s from {start:.1f}{end}, {last}; {leaders}"
-        )
+        over = "still idle" if until == math.inf else "idle"
+        lines.append(f"LATE {over} {seconds:.2f} s from {start:.1f}, {last}")
+        lines.append(f"  {leaders}")
     for last, run in overlaps:
         start = run.began_at - ledger.began_at
         lines.append(f"TWICE from {start:.1f}, {last}; {run}")
--- a/tests/platform/soak/play.py
+++ b/tests/platform/soak/play.py
@@ -20,19 +20,17 @@
 
 NODE_PATH = pathlib.Path(__file__).parents[3] / "platform" / "node.py"
 GRACE_S = 6.0
-# Priorities of the queues; 0 comes first.
 PRIORITIES = {"urgent": 0, "batch": 1, "serve": 1}
 NODES = 5
 WORKERS = 12
 LONG_JOBS = 4
 LONG_STEP = {"count": 6, "cpu": 2_000, "mem_mb": 10, "long_running": True}
 SHORT_JOBS_PER_S = 6.0
-SHORT_JOB_PREFIXES = ("/urgent/", "/batch/", "/batch/", "/batch/")
+PREFIXES = ("/urgent/", "/batch/", "/batch/", "/batch/")
 DEADLINE_MS = 3_000
 SUBMIT_TRIES = 20
 RETRY_S = 0.5
 START_TIMEOUT_S = 30.0
-# Observation after the last fault, for tasks that have just lost their runs.
 CALM_S = ledger_lib.MAX_IDLE_S + 2.0
 # Longest time without turns for this process, which also plays the store.
 MAX_LAG_S = 1.0
@@ -51,8 +49,7 @@
         self.process = None
         self.ledger = ledger
         self.path = folder / f"{name}.json"
-        self.log_path = folder / f"{name}.log"
-        self.log_path.write_text("")
+        self.log = open(folder / f"{name}.log", "wb")  # noqa: SIM115
         self.front = workers_lib.free_address()
         ready = workers_lib.free_address()
         ports = [int(workers_lib.free_address().rpartition(":")[2])] * 2
@@ -60,14 +57,13 @@
         self.path.write_text(json.dumps({**fields, "node": name}))
 
     async def start(self):
-        with open(self.log_path, "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(NODE_PATH.resolve()),
-                env={**os.environ, "SKYLARKLUG_BOOT": str(self.path)},
-                stdout=log,
-                stderr=log,
-            )
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(NODE_PATH.resolve()),
+            env={**os.environ, "SKYLARKLUG_BOOT": str(self.path)},
+            stdout=self.log,
+            stderr=self.log,
+        )
         self.up = True
         self.started_at = time.monotonic()
         self.ledger.note(f"{self.name} started pid={self.process.pid}")
@@ -94,8 +90,6 @@
 
 
 class Fleet:
-    """The processes and stand-ins of a play."""
-
     def __init__(self, seed, folder):
         folder.mkdir(parents=True, exist_ok=True)
         self.ledger = ledger_lib.Ledger(folder / "record.txt")
@@ -177,8 +171,7 @@
             ms = self.rng.randint(500, 3_000)
             step = {"count": self.rng.randint(1, 4), "mem_mb": 10, "est_ms": ms}
             step["cpu"] = self.rng.choice((500, 1_000, 2_000))
-            prefix = self.rng.choice(SHORT_JOB_PREFIXES)
-            self.spawn(self.submit(prefix, step, ms))
+            self.spawn(self.submit(self.rng.choice(PREFIXES), step, ms))
 
     async def stop(self):
         self.ledger.note("the observation has ended")
--- a/tests/platform/soak/workers.py
+++ b/tests/platform/soak/workers.py
@@ -76,8 +76,7 @@
         self.fence = 0
         self.ends = []
         self.end_count = 0
-        # Highest attempt that was stopped or has ended, by task.
-        self.closed = {}
+        self.closed = {}  # Highest attempt that was stopped or has ended.
         self.lease_until_ms = 0
         self.open(int(address.rpartition(":")[2]))
         coroutines = (self.send_heartbeats(), self.end_runs())
@@ -178,8 +177,7 @@
 
     async def hold(self, body):
         self.renew(body.get("deadline_ms", 0))
-        last_seen = body["last_seen"]
-        self.ends = [row for row in self.ends if row[0] > last_seen]
+        self.ends = [row for row in self.ends if row[0] > body["last_seen"]]
         until = time.monotonic() + body.get("wait_ms", 0) / 1_000
         while not self.ends and time.monotonic() < until:
             await asyncio.sleep(CHECK_INTERVAL_S)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -1,6 +1,8 @@
 import asyncio
+import time
 
 import pytest
+from tests.platform.soak import ledger as ledger_lib
 from tests.platform.soak import play
 
 SEED = 2
@@ -15,3 +17,16 @@
         except play.Stalled as exc:
             pytest.skip(f"the machine is too busy: {exc}")
         assert not broken, "\n".join(lines)
+
+
+class TestReport:
+    def test_wait_and_overlap_are_found(self, tmp_path):
+        """Guards against a soak that passes whatever its workers saw."""
+        ledger = ledger_lib.Ledger(tmp_path / "record.txt")
+        for worker in ("w1", "w2"):
+            ledger.begin("task", 1, worker, 1, {"ms": 0, "cpu": 1})
+        for run in ledger.runs["task"]:
+            ledger.end(run, "failed")
+        now = time.monotonic() + ledger_lib.MAX_IDLE_S
+        _, late, overlaps = ledger_lib.report(ledger, now)
+        assert len(late) == len(overlaps) == 1
