Give each node of the soak a port for the watch of exits

Cause: the nodes of the soak had a port range of one port, so that no node could watch the leader's process. Change: two ports in a row for each.

--- a/tests/platform/soak/workers.py
+++ b/tests/platform/soak/workers.py
@@ -31,6 +31,16 @@
             return f"127.0.0.1:{port}"
 
 
+def free_port_pair():
+    """Returns two free ports in a row, for metrics and for the exit watch."""
+    while True:
+        first, second = (
+            int(free_address().rpartition(":")[2]) for _ in range(2)
+        )
+        if second == first + 1:
+            return [first, second]
+
+
 class Store(standin.Store):
     """Passes the rows about the leader to `on_leadership(key, value)`."""
 
