Let no late heartbeat set the horizon of leases back

Cause: a heartbeat was only conditional on the owner. One without an answer may be applied seconds later and replaced newer ones, with an earlier horizon than that of the leases granted since.

Change: a heartbeat also checks the version of the former one; a conflict is repeated at once. A leader also takes a heartbeat of its own that the feed delivers for confirmed, as the answer may be lost. How early a leader claimed (claimed_early_ms) holds for its successor even if that one finds it settled, as settling proves nothing about the machine API.

--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -197,6 +197,20 @@
     state.heartbeat = row.value or {}
     state.heartbeat_version = row.version
     state.owner_updated_at = state.now
+    leader = state.leader
+    if leader is None or state.heartbeat.get("epoch") != leader.epoch:
+        return
+    sent = leader.sent_heartbeats.get(state.heartbeat.get("number"))
+    if sent is not None:
+        # The answer to its commit may get lost.
+        _confirm(leader, *sent)
+
+
+def _confirm(leader, sent_at, leases_from):
+    """Notes that the store has a heartbeat that was sent at a time."""
+    leader.confirmed_at = max(leader.confirmed_at, sent_at)
+    leader.heartbeat_at = max(leader.heartbeat_at, sent_at)
+    leader.leases_from = max(leader.leases_from, leases_from)
 
 
 def _on_owner(state, effects):
@@ -274,13 +288,11 @@
 def _claimed_early_ms(state):
     """Returns how long before its timeout a leader that may be alive loses.
 
-    One that is free but has not settled may have replaced such a leader.
+    One that is free may have replaced such a leader.
     """
     if not _is_free(state):
         return _until_timeout_ms(state)
-    if _has_settled(state):
-        return 0
-    return state.owner.get("claimed_early_ms", 0)
+    return (state.owner or {}).get("claimed_early_ms", 0)
 
 
 def _claim(state, effects):
@@ -404,6 +416,8 @@
     leader = state.leader
     leader.heartbeat_pending = True
     leases_from = state.now if leader.leases_from else 0
+    leader.heartbeat_number += 1
+    leader.sent_heartbeats = {leader.heartbeat_number: (state.now, leases_from)}
     stored_horizon = leader.inherited_horizon
     if leases_from:
         stored_horizon = horizon.of_leader(state.store_clock, leases_from)
@@ -413,16 +427,23 @@
             return
         leader.heartbeat_pending = False
         if answer.status == "ok":
-            record_commit(state, answer)
-            leader.heartbeat_at = max(leader.heartbeat_at, answer.sent_at)
-            leader.leases_from = max(leader.leases_from, leases_from)
+            _confirm(leader, answer.sent_at, leases_from)
+            if answer.version > state.heartbeat_version:
+                state.heartbeat = value
+                state.heartbeat_version = answer.version
             leader.heartbeat_due_at = answer.sent_at + HEARTBEAT_INTERVAL_MS
             if leader.worker_reached_at > answer.sent_at:
                 leader.heartbeat_due_at = state.now + REACHED_DELAY_MS
             return
         leader.heartbeat_due_at = state.now + HEARTBEAT_RETRY_MS
-        if answer.status == "conflict":
-            check_conflict(state, effects, answer)
+        if answer.status != "conflict":
+            return
+        if not check_conflict(state, effects, answer):
+            return
+        for row in answer.rows:
+            if row.key == HEARTBEAT and row.version > state.heartbeat_version:
+                _on_heartbeat(state, row)
+        leader.heartbeat_due_at = state.now
 
     waiting = state.heartbeat.get("waiting", {})
     if is_loaded(leader) and not leader.job_rows:
@@ -432,11 +453,17 @@
         "waiting": waiting,
         "settled": leader.settled,
         "horizon": horizon.encode(stored_horizon),
+        "number": leader.heartbeat_number,
     }
     store.commit(
         state,
         effects,
-        [owner_check(leader)],
+        [
+            owner_check(leader),
+            # An earlier heartbeat without an answer may still be applied, and
+            # must not set the horizon back.
+            fx.Check(TABLE, HEARTBEAT, state.heartbeat_version),
+        ],
         [fx.Write(TABLE, HEARTBEAT, value)],
         done,
     )
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -385,6 +385,9 @@
         owner_version: Version of the `owner` row, checked by each commit.
         since: When the claim of the leadership was sent.
         confirmed_at: When the latest successful commit was sent.
+        heartbeat_number: Number of its latest heartbeat.
+        sent_heartbeats: When the latest heartbeat was sent, and from when on
+            the leases count that it allows, by its number.
         heartbeat_at: When the latest successful heartbeat, or the claim, was
             sent.
         leases_from: From when on the longest leases that it may grant count,
@@ -407,6 +410,11 @@
         idle_recorded: The tasks of which a stored record may say so.
         idle_released: When a record was changed so that its task may start, by
             task.
+        former_locations: On which worker former leaders had a long-running
+            task, by task.
+        located: The workers that stored locations may name, by task.
+        locations_saved: The stored locations; None if they are not known.
+        location_awaited: Whether a task waits for the removal of one to start.
         former_run_at: When the former leader last had runs of the tasks that it
             had not recorded.
         loaded_at: When it had read all state of former leaders; 0 before.
@@ -488,6 +496,8 @@
         self.since = now
         self.confirmed_at = now
         self.heartbeat_at = now
+        self.heartbeat_number = 0
+        self.sent_heartbeats: dict[int, tuple[int, int]] = {}
         self.leases_from = 0
         self.inherited_horizon: Any = None
         self.former_horizon: Any = None
@@ -502,6 +512,10 @@
         self.idle_saved: frozenset[records.TaskKey] = frozenset()
         self.idle_recorded: set[records.TaskKey] = set()
         self.idle_released: dict[records.TaskKey, int] = {}
+        self.former_locations: dict[records.TaskKey, str] = {}
+        self.located: dict[records.TaskKey, set[str]] = {}
+        self.locations_saved: dict[records.TaskKey, str] | None = {}
+        self.location_awaited = False
         self.former_run_at = now
         self.loaded_at = 0
         self.stored_rosters: list[frozenset[str]] = []
