Record where long-running tasks run

The soak of real processes still showed waits of up to 18.6 s over four leaders.

Cause: a new leader held a task for each worker that did not answer, also for one that had fallen silent seconds after the task's own worker, because it did not know on which of them the task had run. With workers that crash one after another the hold was passed from one to the next.

Change (module run_locations): a row names the worker of each long-running task. A later leader holds the task for that worker only; the task starts elsewhere only after a commit that has removed its record.

--- a/packages/core/src/skylarklug/scheduler/idle_records.py
+++ b/packages/core/src/skylarklug/scheduler/idle_records.py
@@ -60,10 +60,18 @@
         for task in group.values():
             if _should_record(state, task):
                 waiting.append(task)
+    for task in leader.unconfirmed.values():
+        # A later leader may not find a run.
+        if task.status != state_lib.STARTING:
+            continue
+        if task.step.runs_until_cancelled and _should_record(state, task):
+            waiting.append(task)
     waiting.sort(key=lambda task: (task.idle_since, task.key))
     found = {}
     for task in waiting[:MAX_TASKS]:
-        runs_nowhere = not task.held or not may_run_unseen(leader, task.key)
+        runs_nowhere = not task.worker and not (
+            task.held and may_run_unseen(leader, task.key)
+        )
         found[task.key] = IdleRecord(
             task.idle_since,
             task.last_run_at,
--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -27,6 +27,7 @@
 from skylarklug.scheduler import reservations
 from skylarklug.scheduler import restarts
 from skylarklug.scheduler import roster
+from skylarklug.scheduler import run_locations
 from skylarklug.scheduler import scoring
 from skylarklug.scheduler import state as state_lib
 from skylarklug.scheduler import waiting
@@ -298,7 +299,7 @@
         )
     ):
         return False
-    if not idle_records.may_start(state, task):
+    if not _is_unrecorded(state, task, worker):
         reservations.hold(state, task, worker)
         task.wait_reason = waiting.RECORDED
         return True
@@ -308,6 +309,13 @@
     return True
 
 
+def _is_unrecorded(state, task, worker):
+    """Returns whether the store does not rule out a start on a worker."""
+    runs_nowhere = not idle_records.may_start(state, task)
+    is_elsewhere = not run_locations.may_start(state.leader, task, worker)
+    return not runs_nowhere and not is_elsewhere
+
+
 def _place_group(state, effects, task, group):
     """Starts what fits of a group, unless a smaller task has just failed.
 
@@ -463,7 +471,7 @@
         if task.key in leader.reservations:
             if restarts.is_overdue(state, task):
                 continue
-            if task.key in leader.idle_recorded:
+            if task.key in leader.idle_recorded or leader.location_awaited:
                 continue
             # Its room was only kept until its record was removed.
             reservations.release(leader, task.key)
@@ -490,7 +498,7 @@
             if scoring.is_short(task.step):
                 preemption.preempt_for(state, effects, task, candidates)
             return False
-        if not idle_records.may_start(state, task):
+        if not _is_unrecorded(state, task, worker):
             reservations.hold(state, task, worker)
             search = None
             task.wait_reason = waiting.RECORDED
@@ -562,7 +570,9 @@
         orders.free_resources(worker, task)
     if len(chosen) < len(members):
         return
-    unrecorded = [idle_records.may_start(state, task) for task in members]
+    unrecorded = []
+    for task, worker in chosen:
+        unrecorded.append(_is_unrecorded(state, task, worker))
     if not all(unrecorded):
         first.wait_reason = waiting.RECORDED
         return
--- a/packages/core/src/skylarklug/scheduler/reservations.py
+++ b/packages/core/src/skylarklug/scheduler/reservations.py
@@ -69,7 +69,8 @@
     if task.job.state in records.FINAL_STATES:
         return False
     if task.status == state_lib.WAITING:
-        if task.key in state.leader.idle_released:
+        leader = state.leader
+        if task.key in leader.idle_released or leader.location_awaited:
             # It starts after the next commit.
             return True
         return restarts.is_overdue(state, task)
--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -18,6 +18,7 @@
 from skylarklug.scheduler import leadership
 from skylarklug.scheduler import leases
 from skylarklug.scheduler import records
+from skylarklug.scheduler import run_locations
 from skylarklug.scheduler import state as state_lib
 from skylarklug.scheduler import store
 
@@ -33,6 +34,8 @@
 # A new leader waits this long for workers to answer before its first commit,
 # which records the ends of the leases of those that have not.
 FIRST_COMMIT_MS = 100
+# The same while most of them have not answered.
+MAJORITY_WAIT_MS = 400
 # Minimum time between two commits that a start or a lease waits for.
 URGENT_INTERVAL_MS = 50
 # Minimum time before a commit that records the end of a lease.
@@ -93,8 +96,11 @@
 
 def workers_that_may_run(leader, key) -> list[str]:
     """Returns the workers without an answer that may run a task."""
+    located = leader.former_locations.get(key)
     found = []
     for name, former in leader.former_workers.items():
+        if located is not None and name != located:
+            continue
         tasks = former.expiry.tasks
         if tasks is None:
             may_run = key not in leader.waiting_tasks
@@ -117,7 +123,7 @@
     if former_horizon is None or leader.horizon_applied:
         return
     if not leader.majority_at:
-        if 2 * len(leader.reached_names) <= len(leader.former_names):
+        if 2 * len(leader.reached_names) < len(leader.former_names):
             return
         leader.majority_at = state.now
     leader.horizon_applied = True
@@ -320,6 +326,7 @@
     addresses = {worker.name: worker.entry.address for worker in kept}
     expiring = frozenset(expiries)
     idle = idle_records.tasks_to_record(state, may_run_unseen)
+    locations = run_locations.to_record(leader)
     if (
         addresses == leader.roster_saved
         and expiring == leader.expiries_saved
@@ -327,13 +334,14 @@
         and not leader.expiries_changed
         and idle_records.keys_that_run_nowhere(idle) == leader.idle_saved
         and idle.keys() == leader.idle_known
+        and locations == leader.locations_saved
     ):
         return
     interval_ms = _save_interval_ms(leader, addresses, expiring, idle)
     if leader.leases_from and state.now < leader.roster_saved_at + interval_ms:
         # It is compared again soon.
         return
-    _commit(state, effects, kept, addresses, expiries, idle)
+    _commit(state, effects, kept, addresses, expiries, idle, locations)
 
 
 def _awaits_first_answers(state):
@@ -341,7 +349,11 @@
     leader = state.leader
     if not leader.former_workers:
         return False
-    return state.now < leader.loaded_at + FIRST_COMMIT_MS
+    wait_ms = FIRST_COMMIT_MS
+    if not leader.majority_at and leader.former_horizon is not None:
+        # Until then the longest leases would be recorded.
+        wait_ms = MAJORITY_WAIT_MS
+    return state.now < leader.loaded_at + wait_ms
 
 
 def _save_interval_ms(leader, addresses, expiring, idle):
@@ -352,6 +364,8 @@
     if not addresses.items() <= leader.roster_saved.items():
         # A worker waits for it to get a start.
         return URGENT_INTERVAL_MS
+    if leader.location_awaited:
+        return 0
     if not leader.idle_released.keys().isdisjoint(leader.idle_saved):
         # A task waits for it to start.
         return 0
@@ -359,7 +373,7 @@
         return RECORD_INTERVAL_MS
     if idle.keys() - leader.idle_known:
         return RECORD_INTERVAL_MS
-    return ROSTER_SHRINK_INTERVAL_MS
+    return min(ROSTER_SHRINK_INTERVAL_MS, run_locations.INTERVAL_MS)
 
 
 class Saved(NamedTuple):
@@ -369,7 +383,8 @@
         number: Number of the commit, which the row names.
         addresses: Address by worker.
         expiring: Workers whose last lease's end it records.
-        idle: Records of tasks that run nowhere, by task.
+        idle: Records of tasks without a run, by task.
+        locations: Worker of each long-running task that has one.
         leases_from: When it was made; longer leases than before may be granted
             from then on.
     """
@@ -378,10 +393,11 @@
     addresses: dict[str, str]
     expiring: frozenset[str]
     idle: dict[records.TaskKey, idle_records.IdleRecord]
+    locations: dict[records.TaskKey, str]
     leases_from: int
 
 
-def _commit(state, effects, kept, addresses, expiries, idle):
+def _commit(state, effects, kept, addresses, expiries, idle, locations):
     leader = state.leader
     leader.roster_saving = True
     leader.roster_number += 1
@@ -390,6 +406,7 @@
         addresses,
         frozenset(expiries),
         idle,
+        locations,
         state.now,
     )
     # The commit may take effect although its answer is lost.
@@ -407,6 +424,14 @@
         roster[worker.name] = [entry.address, entry.service, entry.zone]
     value = _encode_expiries(state, expiries, idle)
     value["number"] = saved.number
+    writes = [
+        fx.Write(leadership.TABLE, leadership.ROSTER, roster),
+        fx.Write(leases.TABLE, leases.KEY, value),
+    ]
+    if locations != leader.locations_saved:
+        run_locations.note_commit(leader, locations)
+        runs = run_locations.encode(leader.epoch, locations)
+        writes.append(fx.Write(leases.TABLE, run_locations.KEY, runs))
 
     def done(state, effects, answer):
         if state.leader is not leader:
@@ -437,10 +462,7 @@
                 leadership.TABLE, leadership.ROSTER, leader.roster_version
             ),
         ],
-        [
-            fx.Write(leadership.TABLE, leadership.ROSTER, roster),
-            fx.Write(leases.TABLE, leases.KEY, value),
-        ],
+        writes,
         done,
     )
 
@@ -478,6 +500,7 @@
     leader.roster_saved_at = state.now
     leader.stored_rosters = [frozenset(saved.addresses)]
     idle_records.note_committed(state, saved.idle)
+    run_locations.note_committed(leader, saved.locations)
     waiting = leader.expiring - saved.expiring
     if not leader.leases_from:
         waiting = leader.workers.keys() - saved.expiring
--- a/packages/core/src/skylarklug/scheduler/takeover.py
+++ b/packages/core/src/skylarklug/scheduler/takeover.py
@@ -6,6 +6,7 @@
 from skylarklug.scheduler import horizon
 from skylarklug.scheduler import idle_records
 from skylarklug.scheduler import leases
+from skylarklug.scheduler import run_locations
 from skylarklug.scheduler import state as state_lib
 from skylarklug.scheduler import store
 
@@ -58,6 +59,20 @@
             _shorten_waits(
                 state, effects, leader, store.clock_reading(answer), row
             )
+        store.read(
+            state, effects, leases.TABLE, run_locations.KEY, on_locations
+        )
+
+    def on_locations(state, effects, answer):
+        if state.leader is not leader:
+            return
+        if answer.status != "ok":
+            store.read(
+                state, effects, leases.TABLE, run_locations.KEY, on_locations
+            )
+            return
+        for row in answer.rows:
+            _restore_locations(state, effects, leader, row)
         leader.loaded.add("leases")
         leader.loaded_at = state.now
         _log_read(state, effects, leader)
@@ -76,6 +91,19 @@
     return roster
 
 
+def _restore_locations(state, effects, leader, row):
+    since_epoch = state.owner.get("horizons_since", leader.epoch)
+    try:
+        found = run_locations.decode(row.value, leader.epoch, since_epoch)
+    except (AttributeError, KeyError, TypeError) as exc:
+        fields = {"key": row.key, "reason": repr(exc)}
+        effects.append(fx.Log("error", "row-unreadable", fields))
+        leader.locations_saved = None
+        return
+    leader.former_locations = found
+    run_locations.note_committed(leader, found)
+
+
 def _known_horizon(state, leader, value):
     """Returns until when the leases of all former leaders last, or None.
 
@@ -106,6 +134,7 @@
         "epoch": leader.epoch,
         "workers": len(leader.former_workers),
         "waiting_tasks": len(leader.waiting_tasks),
+        "located_tasks": len(leader.former_locations),
         "latest_expiry_ms": latest - state.now,
     }
     for source in leases.SOURCES:
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -471,6 +471,9 @@
     """
     worker.fenced = False
     worker.replaced = True
+    if worker.name in state.leader.former_names:
+        # Its process has ended, so it is no witness of a former leader.
+        state.leader.reached_names.add(worker.name)
     outages.note_end(state, worker)
     _record_crash(state, effects, worker, lost=True, proven=True)
     for task in list(worker.runs.values()):
