Let a test of a given-up request wait for that, not for 0.4 s

Its peer began to read 0.4 s after it had accepted, whether the client had given up by then or not. With the event loop held for 0.5 s it fails in the same way (AssertionError).

Change: the peer reads once the client has given up, as the test's comment says. The assertions are the same.

--- a/tests/node/test_client.py
+++ b/tests/node/test_client.py
@@ -1,5 +1,6 @@
 import asyncio
 import socket
+import threading
 import time
 
 import pytest
@@ -229,12 +230,13 @@
         """Guards against an order that arrives after its sender has given it
         up, and after an order of the next leader."""
         body = b"x" * 150_000
+        given_up = threading.Event()
 
         def read_all(sock):
             conn, _ = sock.accept()
             conn.settimeout(5)
             # Nothing is read until the client has given up.
-            time.sleep(0.4)
+            given_up.wait(5)
             size = 0
             try:
                 while data := conn.recv(65_536):
@@ -256,6 +258,7 @@
                 http = client.Client(connections=2, connect_timeout_ms=500)
                 with pytest.raises(upstream.ExchangeFailed) as caught:
                     await http.call(f"{host}:{port}", "POST", "/", body, 200)
+                given_up.set()
                 assert caught.value.sent
                 return await reading
 
