Record on which worker a waiting task is about to start

A leader had removed the record that they ran nowhere, in order to start them, and ended before it did, or lost the room. From then on no leader knew where they were, and each held them for every worker that was silent.

Change: the commit that removes the record names the worker on which the task is to start, so that a later leader holds it for that worker only.

--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -311,8 +311,12 @@
 
 def _is_unrecorded(state, task, worker):
     """Returns whether the store does not rule out a start on a worker."""
+    leader = state.leader
     runs_nowhere = not idle_records.may_start(state, task)
-    is_elsewhere = not run_locations.may_start(state.leader, task, worker)
+    if runs_nowhere:
+        # A later leader holds it for that worker only.
+        leader.intended_workers[task.key] = worker.name
+    is_elsewhere = not run_locations.may_start(leader, task, worker)
     return not runs_nowhere and not is_elsewhere
 
 
--- a/packages/core/src/skylarklug/scheduler/run_locations.py
+++ b/packages/core/src/skylarklug/scheduler/run_locations.py
@@ -4,7 +4,7 @@
 reports, so that each silent worker holds all of them. The leader records on
 which worker each long-running task runs; a later leader then holds the task for
 that worker only. A recorded task starts elsewhere only after a commit that has
-removed its record.
+removed its record, and that records the worker on which it is to start.
 """
 
 from typing import Any
@@ -30,6 +30,12 @@
         if name in leader.former_workers and task is not None:
             if not task.worker:
                 found[key] = name
+    for key, name in list(leader.intended_workers.items()):
+        task = _find_task(leader, key)
+        if task is None or task.worker or key not in leader.idle_released:
+            del leader.intended_workers[key]
+            continue
+        found[key] = name
     for worker in leader.workers.values():
         for key, task in worker.runs.items():
             if task.step.runs_until_cancelled:
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -414,6 +414,8 @@
             task, by task.
         located: The workers that stored locations may name, by task.
         locations_saved: The stored locations; None if they are not known.
+        intended_workers: The workers on which recorded tasks start after the
+            next commit.
         location_awaited: Whether a task waits for the removal of one to start.
         former_run_at: When the former leader last had runs of the tasks that it
             had not recorded.
@@ -515,6 +517,7 @@
         self.former_locations: dict[records.TaskKey, str] = {}
         self.located: dict[records.TaskKey, set[str]] = {}
         self.locations_saved: dict[records.TaskKey, str] | None = {}
+        self.intended_workers: dict[records.TaskKey, str] = {}
         self.location_awaited = False
         self.former_run_at = now
         self.loaded_at = 0
