Let leases last longer in large fleets

Change: the time without witnesses and the end of leases are longer by 30 ms for each worker beyond 30, by four seconds at most, fixed with a leader's first commit, so that stored horizons count on it.

--- a/packages/core/src/skylarklug/scheduler/horizon.py
+++ b/packages/core/src/skylarklug/scheduler/horizon.py
@@ -24,6 +24,11 @@
 LIMIT_MS = 6_700
 # A leader needs witnesses from this time after its last heartbeat on.
 CONFIRMED_MS = 2_000
+# A new leader needs longer to reach the workers of a large fleet, so both times
+# are longer by this for each worker beyond a number of them, up to a limit.
+EXTRA_PER_WORKER_MS = 30
+SMALL_FLEET = 30
+MAX_EXTRA_MS = 4_000
 # Longest lease that is granted with witnesses, in ms of the worker's clock.
 WITNESSED_LEASE_MS = 2_500
 # How long before a lease is granted its witnesses may have been asked.
@@ -63,13 +68,27 @@
     return int(WITNESSED_LEASE_MS * (1 + leases.CLOCK_DRIFT)) + MARGIN_MS
 
 
-def of_leader(reading: leases.ClockReading, base_at: int) -> Horizon | None:
+def extra_ms(workers: int) -> int:
+    """Returns by how much leases last longer in a fleet of this size, in ms."""
+    beyond = max(0, workers - SMALL_FLEET)
+    return min(MAX_EXTRA_MS, beyond * EXTRA_PER_WORKER_MS)
+
+
+def granted_from(latest_at: int) -> int:
+    """Returns when a leader began to count its leases, from their end."""
+    return latest_at - MAX_RENEWAL_MS - _witnessed_lease_ms()
+
+
+def of_leader(
+    reading: leases.ClockReading, base_at: int, extra: int = 0
+) -> Horizon | None:
     """Returns the horizon of a leader whose leases count from `base_at`.
 
     Args:
         reading: A reading of the store's clock.
         base_at: When the heartbeat is sent that stores the horizon, in ms of
             this node's clock.
+        extra: What `extra_ms` returns for the fleet.
 
     Returns:
         The horizon; None if the store's clock is not known.
@@ -78,7 +97,7 @@
         return None
     latest_at = base_at + MAX_RENEWAL_MS + _witnessed_lease_ms()
     return Horizon(
-        leases.latest_store_ms(reading, base_at + LIMIT_MS),
+        leases.latest_store_ms(reading, base_at + LIMIT_MS + extra),
         leases.latest_store_ms(reading, latest_at),
         WITNESS_AGE_MS + _witnessed_lease_ms(),
     )
@@ -121,8 +140,8 @@
         return 0
     age_ms = state.now - leader.leases_from
     longest_ms = state.cfg.max_lease_ms
-    if age_ms < CONFIRMED_MS:
-        left_ms = LIMIT_MS - MARGIN_MS - age_ms
+    if age_ms < CONFIRMED_MS + leader.lease_extra_ms:
+        left_ms = LIMIT_MS + leader.lease_extra_ms - MARGIN_MS - age_ms
         return min(longest_ms, int(left_ms / (1 + leases.CLOCK_DRIFT)))
     if age_ms >= MAX_RENEWAL_MS or not has_witnesses(state):
         return 0
--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -420,7 +420,9 @@
     leader.sent_heartbeats = {leader.heartbeat_number: (state.now, leases_from)}
     stored_horizon = leader.inherited_horizon
     if leases_from:
-        stored_horizon = horizon.of_leader(state.store_clock, leases_from)
+        stored_horizon = horizon.of_leader(
+            state.store_clock, leases_from, leader.lease_extra_ms
+        )
 
     def done(state, effects, answer):
         if state.leader is not leader:
--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -298,7 +298,9 @@
     if not reading.store_ms:
         expiries, release = {}, None
     value = leases.encode(reading, state.leader.epoch, expiries, release)
-    value["horizon"] = horizon.encode(horizon.of_leader(reading, state.now))
+    value["horizon"] = horizon.encode(
+        horizon.of_leader(reading, state.now, state.leader.lease_extra_ms)
+    )
     value["idle"] = idle_records.encode(
         reading, idle if reading.store_ms else {}
     )
@@ -401,6 +403,9 @@
     leader = state.leader
     leader.roster_saving = True
     leader.roster_number += 1
+    if leader.roster_number == 1:
+        # It stays the same, as stored horizons count on it.
+        leader.lease_extra_ms = horizon.extra_ms(len(leader.workers))
     saved = Saved(
         leader.roster_number,
         addresses,
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -392,6 +392,8 @@
             sent.
         leases_from: From when on the longest leases that it may grant count,
             as the store has it; 0 as long as it may grant none.
+        lease_extra_ms: By how much its leases may last longer than those of a
+            small fleet.
         inherited_horizon: Until when the leases of former leaders last, as the
             heartbeats of the last one tell; None if that is not known.
         former_horizon: The same by all rows that tell it.
@@ -501,6 +503,7 @@
         self.heartbeat_number = 0
         self.sent_heartbeats: dict[int, tuple[int, int]] = {}
         self.leases_from = 0
+        self.lease_extra_ms = 0
         self.inherited_horizon: Any = None
         self.former_horizon: Any = None
         self.former_names: frozenset[str] = frozenset()
--- a/packages/core/src/skylarklug/scheduler/takeover.py
+++ b/packages/core/src/skylarklug/scheduler/takeover.py
@@ -174,8 +174,8 @@
         return
     leader.former_horizon = _known_horizon(state, leader, row.value)
     if leader.former_horizon is not None:
-        until_at = leases.reached_at(reading, leader.former_horizon.until)
-        leader.former_run_at = min(state.now, until_at - horizon.LIMIT_MS)
+        latest_at = leases.reached_at(reading, leader.former_horizon.latest)
+        leader.former_run_at = min(state.now, horizon.granted_from(latest_at))
     for name, former in leader.former_workers.items():
         expiry = expiries.get(name)
         if expiry is None and former_release is not None:
