Stop at the first worker that may run a held task

Cause: for the log, may_run_unseen had become a list of all workers that may run a task. It is asked for each held task in each placement pass after a take-over, so that a leader of 175 workers looks at all of them thousands of times, where the first one decides.

Change: a generator serves both; the check stops at the first worker, and looks up the worker of a task whose location is recorded. No change of decisions.

--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -94,26 +94,36 @@
         effects.append(fx.Log("warning", "worker-unreached", fields))
 
 
-def workers_that_may_run(leader, key) -> list[str]:
-    """Returns the workers without an answer that may run a task."""
+def _may_run(leader, former, key):
+    """Returns whether a worker that has not answered may run a task."""
+    tasks = former.expiry.tasks
+    if tasks is None:
+        return key not in leader.waiting_tasks
+    return key in tasks
+
+
+def _possible_workers(leader, key):
+    """Yields the workers without an answer that may run a task."""
     located = leader.former_locations.get(key)
-    found = []
+    if located is not None:
+        former = leader.former_workers.get(located)
+        if former is not None and _may_run(leader, former, key):
+            yield located
+        return
     for name, former in leader.former_workers.items():
-        if located is not None and name != located:
-            continue
-        tasks = former.expiry.tasks
-        if tasks is None:
-            may_run = key not in leader.waiting_tasks
-        else:
-            may_run = key in tasks
-        if may_run:
-            found.append(name)
-    return found
+        if _may_run(leader, former, key):
+            yield name
+
+
+def workers_that_may_run(leader, key) -> list[str]:
+    """Returns the workers without an answer that may run a task."""
+    return list(_possible_workers(leader, key))
 
 
 def may_run_unseen(leader, key) -> bool:
     """Returns whether a worker that has not answered may run a task."""
-    return bool(workers_that_may_run(leader, key))
+    # Mostly any of them may, so that the first one decides.
+    return next(_possible_workers(leader, key), None) is not None
 
 
 def _note_majority(state):
