Write the roster only when it has changed

Cause: each commit of the row of leases also rewrote the whole roster, which all nodes read, since the version of the roster ordered these commits. With 175 workers and a leader that is late, such commits follow one another each 50 ms.

Change: the version of the row of leases orders them, and the roster is written when it differs from the stored one.

--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -393,6 +393,7 @@
 
     Attributes:
         number: Number of the commit, which the row names.
+        roster: Address, service and zone by worker.
         addresses: Address by worker.
         expiring: Workers whose last lease's end it records.
         idle: Records of tasks without a run, by task.
@@ -402,6 +403,7 @@
     """
 
     number: int
+    roster: dict[str, list[str]]
     addresses: dict[str, str]
     expiring: frozenset[str]
     idle: dict[records.TaskKey, idle_records.IdleRecord]
@@ -416,8 +418,13 @@
     if leader.roster_number == 1:
         # It stays the same, as stored horizons count on it.
         leader.lease_extra_ms = horizon.extra_ms(len(leader.workers))
+    roster = {}
+    for worker in kept:
+        entry = worker.entry
+        roster[worker.name] = [entry.address, entry.service, entry.zone]
     saved = Saved(
         leader.roster_number,
+        roster,
         addresses,
         frozenset(expiries),
         idle,
@@ -429,20 +436,17 @@
     leader.expiries_saved = None
     leader.expiries_changed = False
     idle_records.note_commit(leader, idle)
-    names = frozenset(addresses)
-    if names not in leader.stored_rosters:
-        leader.stored_rosters.append(names)
     leader.roster_saved = dict(addresses.items() & leader.roster_saved.items())
-    roster = {}
-    for worker in kept:
-        entry = worker.entry
-        roster[worker.name] = [entry.address, entry.service, entry.zone]
     value = _encode_expiries(state, expiries, idle)
     value["number"] = saved.number
-    writes = [
-        fx.Write(leadership.TABLE, leadership.ROSTER, roster),
-        fx.Write(leases.TABLE, leases.KEY, value),
-    ]
+    writes = [fx.Write(leases.TABLE, leases.KEY, value)]
+    if roster != leader.roster_written:
+        # Each node reads it, so it is only written when it has changed.
+        writes.append(fx.Write(leadership.TABLE, leadership.ROSTER, roster))
+        leader.roster_written = None
+        names = frozenset(addresses)
+        if names not in leader.stored_rosters:
+            leader.stored_rosters.append(names)
     if locations != leader.locations_saved:
         run_locations.note_commit(leader, locations)
         runs = run_locations.encode(leader.epoch, locations)
@@ -465,17 +469,15 @@
         if not leadership.check_conflict(state, effects, answer):
             return
         for row in answer.rows:
-            if row.key == leadership.ROSTER:
-                leader.roster_version = row.version
+            if row.key == leases.KEY:
+                leader.leases_version = row.version
 
     store.commit(
         state,
         effects,
         [
             leadership.owner_check(leader),
-            fx.Check(
-                leadership.TABLE, leadership.ROSTER, leader.roster_version
-            ),
+            fx.Check(leases.TABLE, leases.KEY, leader.leases_version),
         ],
         writes,
         done,
@@ -510,7 +512,8 @@
 
 def _on_committed(state, saved, version):
     leader = state.leader
-    leader.roster_version = version
+    leader.leases_version = version
+    leader.roster_written = saved.roster
     leader.roster_saved = saved.addresses
     leader.roster_saved_at = state.now
     leader.stored_rosters = [frozenset(saved.addresses)]
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -474,6 +474,8 @@
         unreached: Former workers whose leases ended without an answer.
         unreached_logged: Whether those without an answer have been logged.
         roster_saved: Address by worker, as in the committed roster.
+        leases_version: Version of the row of leases, checked by its commits.
+        roster_written: The stored roster; None if it is not known.
         roster_number: Number of its latest commit of the roster.
         roster_changed: Whether a worker has answered that may need an entry.
         expiries_saved: Workers for which the store has the end of the last
@@ -572,7 +574,8 @@
         self.roster_saving = False
         self.roster_due_at = 0
         self.roster_check_at = 0
-        self.roster_version = 0
+        self.leases_version = 0
+        self.roster_written: Any = None
         self.former_workers: dict[str, leases.FormerWorker] = {}
         self.unsaved_jobs: frozenset[str] | None = None
         self.waiting_tasks: frozenset[records.TaskKey] = frozenset()
--- a/packages/core/src/skylarklug/scheduler/takeover.py
+++ b/packages/core/src/skylarklug/scheduler/takeover.py
@@ -42,7 +42,7 @@
             return
         for row in answer.rows:
             leader.former_workers = _decode_roster(row.value, leader.settled_at)
-            leader.roster_version = row.version
+            leader.roster_written = row.value
         leader.former_names = frozenset(leader.former_workers)
         leader.stored_rosters = [leader.former_names]
         leader.loaded.add("roster")
@@ -56,6 +56,7 @@
             store.read(state, effects, leases.TABLE, leases.KEY, on_leases)
             return
         for row in answer.rows:
+            leader.leases_version = row.version
             _shorten_waits(
                 state, effects, leader, store.clock_reading(answer), row
             )
