Compare and commit the roster less often in large fleets

A new leader compared the roster with all workers and runs in each tick while workers answered, and committed each 50 ms.

Small fleets are as before.

--- a/packages/core/src/skylarklug/scheduler/roster.py
+++ b/packages/core/src/skylarklug/scheduler/roster.py
@@ -38,6 +38,10 @@
 MAJORITY_WAIT_MS = 400
 # Minimum time between two commits that a start or a lease waits for.
 URGENT_INTERVAL_MS = 50
+# The times above are longer by this for each worker of a large fleet: its
+# workers answer one after another, and each commit names all of them.
+FIRST_COMMIT_PER_WORKER_MS = 5
+URGENT_PER_WORKER_MS = 1
 # Minimum time before a commit that records the end of a lease.
 RECORD_INTERVAL_MS = 200
 # The end of the last lease of a worker that has not answered for this long is
@@ -332,6 +336,8 @@
         return
     if not leader.roster_changed and state.now < leader.roster_check_at:
         return
+    if _is_soon_after_commit(state):
+        return
     leader.roster_changed = False
     leader.roster_check_at = state.now + ROSTER_CHECK_INTERVAL_MS
     kept, expiries = _kept_workers(state)
@@ -365,17 +371,41 @@
     if not leader.majority_at and leader.former_horizon is not None:
         # Until then the longest leases would be recorded.
         wait_ms = MAJORITY_WAIT_MS
+    beyond = _workers_beyond(len(leader.former_names))
+    wait_ms += beyond * FIRST_COMMIT_PER_WORKER_MS
     return state.now < leader.loaded_at + wait_ms
 
 
+def _is_soon_after_commit(state):
+    """Returns whether to put off the comparison, which costs much in a fleet.
+
+    It is not put off while a task waits for a commit to start.
+    """
+    leader = state.leader
+    if not leader.leases_from or not _workers_beyond(len(leader.workers)):
+        return False
+    if leader.idle_released or leader.location_awaited:
+        return False
+    return state.now < leader.roster_saved_at + _urgent_interval_ms(leader)
+
+
+def _workers_beyond(count):
+    return max(0, count - horizon.SMALL_FLEET)
+
+
+def _urgent_interval_ms(leader):
+    beyond = _workers_beyond(len(leader.workers))
+    return URGENT_INTERVAL_MS + beyond * URGENT_PER_WORKER_MS
+
+
 def _save_interval_ms(leader, addresses, expiring, idle):
     """Returns how soon after the last commit the next one may be sent."""
     if leader.expiries_saved is None or leader.expiries_saved - expiring:
         # A worker waits for it to get a lease.
-        return URGENT_INTERVAL_MS
+        return _urgent_interval_ms(leader)
     if not addresses.items() <= leader.roster_saved.items():
         # A worker waits for it to get a start.
-        return URGENT_INTERVAL_MS
+        return _urgent_interval_ms(leader)
     if leader.location_awaited:
         return 0
     if not leader.idle_released.keys().isdisjoint(leader.idle_saved):
