Tell by how old a configuration a request was decided

Change: a feed says up to which time its rows are complete, the reducer keeps that for the operator's rows, `request-failed` names version and age, and the metric `skylarklug.configuration.age` has the age at each decision. No decision has changed. The clocks move to a module of their own.

--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -138,6 +138,16 @@
     cfg: records.Configuration
 
 
+class OperatorRowsRead(NamedTuple):
+    """All changes of the operator's rows up to `current_at` have been read.
+
+    Comes after the events of the rows.
+    """
+
+    at: int
+    current_at: int
+
+
 class WaveRequested(NamedTuple):
     """The operator requests a wave of maintenance."""
 
--- a/packages/core/src/skylarklug/scheduler/intake.py
+++ b/packages/core/src/skylarklug/scheduler/intake.py
@@ -8,6 +8,7 @@
 from skylarklug.scheduler import codec
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
+from skylarklug.scheduler import freshness
 from skylarklug.scheduler import records
 from skylarklug.scheduler import rejection
 from skylarklug.scheduler import store
@@ -44,7 +45,15 @@
 
 
 def _refuse(state, effects, req, status, job, reason, priority=0):
-    fields = {"req": req, "job": job, "status": status, "reason": reason}
+    cfg = state.configuration
+    fields = {
+        "req": req,
+        "job": job,
+        "status": status,
+        "reason": reason,
+        "configuration": cfg.version if cfg else 0,
+        "configuration_age_ms": freshness.age_ms(state),
+    }
     effects.append(fx.Log("warning", "request-failed", fields))
     retry = 0
     if status == 503:
@@ -73,6 +82,7 @@
     if cfg is None:
         _refuse(state, effects, event.req, 503, "", "no configuration yet")
         return None
+    freshness.measure(state, effects)
     queue = cfg.match(event.host, event.path)
     if queue is None:
         reason = f"no queue in configuration {cfg.version}"
--- a/packages/core/src/skylarklug/scheduler/reducer.py
+++ b/packages/core/src/skylarklug/scheduler/reducer.py
@@ -3,6 +3,7 @@
 from skylarklug.scheduler import advice
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import exits
+from skylarklug.scheduler import freshness
 from skylarklug.scheduler import handover
 from skylarklug.scheduler import intake
 from skylarklug.scheduler import jobs
@@ -23,6 +24,7 @@
 MODULES = (
     lifecycle,
     store,
+    freshness,
     leadership,
     succession,
     exits,
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -609,6 +609,9 @@
         self.now = 0
         self.wall_offset = 0
         self.configuration: records.Configuration | None = None
+        # All changes of the operator's rows up to this time have been read; -1
+        # before the first read.
+        self.operator_current_at = -1
         self.waves: dict[int, records.Wave] = {}
         self.ready = False
         self.stopping_at = 0
--- a/packages/node/src/skylarklugd/feeds.py
+++ b/packages/node/src/skylarklugd/feeds.py
@@ -4,6 +4,7 @@
 import random
 
 from skylarklug import exceptions
+from skylarklugd import clocks
 
 # The delay grows by RETRY_DELAY_MS with each consecutive failure.
 RETRY_DELAY_MS = 150
@@ -29,6 +30,9 @@
         log: Called with (level, event, fields).
         rng: Source of jitter for retries.
         wait_ms: Timeout of a long poll.
+        on_current: Called with (table, time) after the rows of each response.
+            All changes up to this time of the boot-time clock, in ms, have been
+            passed to `on_rows`.
     """
 
     def __init__(
@@ -40,6 +44,7 @@
         log,
         rng: random.Random,
         wait_ms: int,
+        on_current=None,
     ):
         self._table = table
         self._store = store
@@ -48,6 +53,7 @@
         self._log = log
         self._rng = rng
         self._wait_ms = wait_ms
+        self._on_current = on_current
         self._version = None
         self._failures = 0
         self._task = asyncio.get_running_loop().create_task(self._run())
@@ -78,6 +84,13 @@
                 self._on_success()
 
     async def _fetch(self):
+        # The store reads the rows after it has received the request.
+        sent_at = clocks.boot_ms()
+        await self._read()
+        if self._on_current is not None:
+            self._on_current(self._table, sent_at)
+
+    async def _read(self):
         if self._version is None:
             version, rows = await self._store.scan(self._table)
             self._version = version
--- a/packages/node/src/skylarklugd/metrics.py
+++ b/packages/node/src/skylarklugd/metrics.py
@@ -24,6 +24,7 @@
     "skylarklug.config.version": ("gauge", "1"),
     "skylarklug.control.bytes": ("counter", "By"),
     "skylarklug.store.duration": ("histogram", "s"),
+    "skylarklug.configuration.age": ("histogram", "s"),
     "skylarklug.answer.duration": ("histogram", "s"),
     "skylarklug.start.wait": ("histogram", "s"),
     "skylarklug.start.idle": ("histogram", "s"),
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -4,7 +4,6 @@
 import collections
 import functools
 import random
-import time
 from typing import Any
 from typing import NamedTuple
 
@@ -13,6 +12,7 @@
 from skylarklug.scheduler import events
 from skylarklug.scheduler import records
 from skylarklug.scheduler import reducer
+from skylarklugd import clocks
 from skylarklugd import feeds
 from skylarklugd import logs
 from skylarklugd import output
@@ -49,16 +49,6 @@
     rows: Any
 
 
-def boot_ms() -> int:
-    """Returns the boot-time clock in milliseconds; it includes suspension."""
-    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
-
-
-def wall_ms() -> int:
-    """Returns the time of day in Unix milliseconds."""
-    return time.time_ns() // 1_000_000
-
-
 class Node:
     """One node of the scheduler.
 
@@ -73,7 +63,7 @@
         self._state = reducer.new_state(cfg, seed)
         self._rng = random.Random(seed)
         self._output = output.Output()
-        self._logger = logs.Logger(cfg.node, boot_ms, self._write_line)
+        self._logger = logs.Logger(cfg.node, clocks.boot_ms, self._write_line)
         self._meters = meters
         self._reported_lost_lines = 0
         self._queue = collections.deque()
@@ -143,16 +133,16 @@
         self._output.write(line)
 
     async def _run_ticks(self):
-        next_tick_ms = boot_ms()
+        next_tick_ms = clocks.boot_ms()
         while True:
-            delay_s = max(0, boot_ms() - next_tick_ms) / 1000
+            delay_s = max(0, clocks.boot_ms() - next_tick_ms) / 1000
             self._meters.record("skylarklug.tick.delay", delay_s, {})
-            self.dispatch(events.Tick(boot_ms(), wall_ms()))
+            self.dispatch(events.Tick(clocks.boot_ms(), clocks.wall_ms()))
             self._output.flush()
             interval_ms = FOLLOWER_TICK_MS
             if self._state.leader is not None or self._state.stopping_at:
                 interval_ms = LEADER_TICK_MS
-            next_tick_ms = boot_ms() + interval_ms
+            next_tick_ms = clocks.boot_ms() + interval_ms
             await asyncio.sleep(interval_ms / 1000)
 
     def dispatch(self, event) -> None:
@@ -197,7 +187,7 @@
         self.log("error", "defect", fields)
         self._meters.record("skylarklug.defects", 1, {})
         if failure is not None:
-            self.dispatch(failure(boot_ms()))
+            self.dispatch(failure(clocks.boot_ms()))
 
     # -------------------------------------------------------------- effects
 
@@ -215,7 +205,7 @@
 
     def _close_idle(self, effect):
         busy = self._ports.callers.close_idle()
-        self.dispatch(events.ConnectionsCounted(boot_ms(), busy))
+        self.dispatch(events.ConnectionsCounted(clocks.boot_ms(), busy))
 
     def _close_connections(self, effect):
         self._ports.callers.close_connections(effect.retry_after_s)
@@ -240,6 +230,7 @@
             self.log,
             self._rng,
             effect.wait_ms,
+            self._on_current,
         )
 
     def _unwatch_table(self, effect):
@@ -251,11 +242,17 @@
         self._ports.leader.watch(effect.address, effect.epoch)
 
     def _on_rows(self, table, is_snapshot, rows):
-        for event in self._ports.rows(boot_ms(), table, is_snapshot, rows):
+        for event in self._ports.rows(
+            clocks.boot_ms(), table, is_snapshot, rows
+        ):
             self.dispatch(event)
 
+    def _on_current(self, table, current_at):
+        if table == "operator":
+            self.dispatch(events.OperatorRowsRead(clocks.boot_ms(), current_at))
+
     def _on_feed_failed(self, table):
-        self.dispatch(events.FeedFailed(boot_ms(), table))
+        self.dispatch(events.FeedFailed(clocks.boot_ms(), table))
 
     def _commit(self, effect):
         self._spawn(
@@ -266,7 +263,7 @@
         )
 
     async def _run_commit(self, effect):
-        sent_at = boot_ms()
+        sent_at = clocks.boot_ms()
         status, version, rows = await self._ports.store.commit(
             effect.checks, effect.writes, effect.timeout_ms
         )
@@ -283,7 +280,7 @@
         )
 
     async def _run_read(self, effect):
-        sent_at = boot_ms()
+        sent_at = clocks.boot_ms()
         version = 0
         rows = ()
         try:
@@ -301,7 +298,7 @@
         self._on_store_answer(effect.op, "read", sent_at, status, version, rows)
 
     def _on_store_answer(self, op, kind, sent_at, status, version, rows):
-        now = boot_ms()
+        now = clocks.boot_ms()
         attributes = {"kind": kind, "status": status}
         self._meters.record(
             "skylarklug.store.duration", (now - sent_at) / 1000, attributes
@@ -324,18 +321,18 @@
         )
 
     async def _run_worker_poll(self, effect):
-        sent_at = boot_ms()
+        sent_at = clocks.boot_ms()
         result, reason, poll_result = await self._ports.workers.poll(effect)
         if result == "ok":
             self.dispatch(
                 events.WorkerPolled(
-                    boot_ms(), sent_at, effect.worker, *poll_result
+                    clocks.boot_ms(), sent_at, effect.worker, *poll_result
                 )
             )
             return
         self.dispatch(
             events.OrderAnswered(
-                boot_ms(),
+                clocks.boot_ms(),
                 sent_at,
                 effect.worker,
                 "look",
@@ -372,12 +369,12 @@
         )
 
     async def _run_order(self, op, effect):
-        sent_at = boot_ms()
+        sent_at = clocks.boot_ms()
         send = getattr(self._ports.workers, op)
         result, reason = await send(effect)
         self.dispatch(
             events.OrderAnswered(
-                boot_ms(),
+                clocks.boot_ms(),
                 sent_at,
                 effect.worker,
                 op,
@@ -407,7 +404,7 @@
         ok, tickets, valid_ms = await self._ports.advice.request(effect)
         self.dispatch(
             events.AdviceAnswered(
-                boot_ms(),
+                clocks.boot_ms(),
                 effect.job,
                 effect.occurrence,
                 effect.step,
@@ -426,7 +423,7 @@
 
     async def _run_list_machines(self):
         ok, machines = await self._ports.machines.list()
-        self.dispatch(events.MachinesListed(boot_ms(), ok, machines))
+        self.dispatch(events.MachinesListed(clocks.boot_ms(), ok, machines))
 
     def _begin_maintenance(self, effect):
         self._spawn(
@@ -440,7 +437,7 @@
         result, reason = await self._ports.machines.begin_maintenance(effect)
         self.dispatch(
             events.MaintenanceAnswered(
-                boot_ms(), effect.machine, result, reason
+                clocks.boot_ms(), effect.machine, result, reason
             )
         )
 
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -160,6 +160,7 @@
             assert malformed.status == 400
             text = await scheduler.request(scheduler.metrics, path="/metrics")
             assert b"skylarklug_answer_duration" in text.body
+            assert b"skylarklug_configuration_age" in text.body
             code, output = await scheduler.stop()
             assert code == 0, output
             assert "event=exit" in output
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -588,11 +588,7 @@
         )
         self.nodes[name] = node
         self.watch_table(node, "leadership")
-        self.deliver(
-            node,
-            STORE_DELAY_MS,
-            lambda at: events.ConfigurationRead(at, self.configuration),
-        )
+        self.send_operator_rows(node)
         self.tick(node)
         self.poll_watches(node)
         return node
@@ -756,6 +752,32 @@
     def on_WatchTable(self, node, effect):  # noqa: N802
         self.watch_table(node, effect.table)
 
+    def send_operator_rows(self, node):
+        """Lets a node read the operator's rows, if the store serves it."""
+        if not self.serves(node, "operator"):
+            node.missed.add("operator")
+            return
+        node.missed.discard("operator")
+        cfg = self.configuration
+        read_at = node.clock.now()
+        if cfg is not None:
+            self.deliver(
+                node,
+                STORE_DELAY_MS,
+                lambda at: events.ConfigurationRead(at, cfg),
+            )
+        self.deliver(
+            node,
+            STORE_DELAY_MS,
+            lambda at: events.OperatorRowsRead(at, read_at),
+        )
+
+    def change_configuration(self, cfg):
+        """Puts a configuration into force; nodes learn it from the store."""
+        self.configuration = cfg
+        for node in list(self.nodes.values()):
+            self.send_operator_rows(node)
+
     def on_UnwatchTable(self, node, effect):  # noqa: N802
         node.watched.pop(effect.table, None)
 
@@ -794,6 +816,10 @@
         reachable = self.store.is_readable(node)
         at = node.clock.now()
         if reachable and node.paused_events is None:
+            if "operator" in node.missed:
+                self.send_operator_rows(node)
+            elif "operator" not in node.hung_tables:
+                self.dispatch(node, events.OperatorRowsRead(at, at))
             for table in sorted(node.watched):
                 if table in node.hung_tables:
                     continue
@@ -807,7 +833,7 @@
                     self.dispatch(node, event)
             node.missed &= node.hung_tables
         elif node.paused_events is None:
-            for table in sorted(node.watched):
+            for table in sorted([*node.watched, "operator"]):
                 self.dispatch(node, events.FeedFailed(at, table))
         self.after(WATCH_POLL_MS, lambda: self.poll_watches(node))
 
