List failing tests of nodes with an outdated configuration

Cause: a node that the store turns away answers 404 for queues that have been added meanwhile, and with a count for queues that have been removed. So does one whose connection has gone silent, and one that has just been resumed.

--- /dev/null
+++ b/tests/platform/test_turned_away.py
@@ -0,0 +1,159 @@
+"""Processes of which the store turns one away while it serves the other."""
+
+import asyncio
+import json
+import socket
+import time
+
+import platform_standin as standin
+import pytest
+import test_process
+
+# The bound of the settings.
+APPLY_S = 2.0
+ROUTE = standin.CONFIGURATION["routes"][0]
+ADDED = {**ROUTE, "name": "added", "prefix": "/added/"}
+WITH_ADDED = {
+    **standin.CONFIGURATION,
+    "version": 9,
+    "routes": [ROUTE, ADDED],
+}
+WITHOUT_ADDED = {**standin.CONFIGURATION, "version": 12}
+
+
+class Door(standin.Server):
+    """An address of the store, with faults of its own."""
+
+    def __init__(self, store):
+        super().__init__()
+        self.handle = store.handle
+
+
+def free_port_range(count):
+    """Returns the first and the last of free ports that follow each other."""
+    while True:
+        (first,) = test_process.free_ports(1)
+        try:
+            for port in range(first, first + count):
+                with socket.socket() as bound:
+                    bound.bind(("127.0.0.1", port))
+        except (OSError, OverflowError):
+            continue
+        return [first, first + count - 1]
+
+
+class Pair:
+    """Two processes; the first one leads, and each has a door of its own."""
+
+    def __init__(self, tmp_path):
+        self.store = standin.Store()
+        self.store.put("op", "", "config", standin.CONFIGURATION)
+        self.doors = []
+        self.schedulers = []
+        for name in ("n1", "n2"):
+            folder = tmp_path / name
+            folder.mkdir()
+            scheduler = test_process.SchedulerProcess(folder)
+            door = Door(self.store)
+            fields = standin.settings(
+                door.address,
+                scheduler.front,
+                scheduler.ready,
+                free_port_range(3),
+            )
+            scheduler.path.write_text(json.dumps({**fields, "node": name}))
+            self.doors.append(door)
+            self.schedulers.append(scheduler)
+
+    async def start(self):
+        for scheduler in self.schedulers:
+            await scheduler.start()
+            await test_process.wait_until(scheduler.is_ready)
+
+            async def has_leader():
+                return ("leadership", "s0", "beat") in self.store.rows
+
+            await test_process.wait_until(has_leader)
+
+    async def stop(self):
+        for scheduler in self.schedulers:
+            scheduler.http.close()
+            if scheduler.process and scheduler.process.returncode is None:
+                scheduler.process.kill()
+                await scheduler.process.wait()
+
+
+def run_pair(tmp_path, scenario):
+    """Runs `await scenario(pair)`."""
+
+    async def run():
+        pair = Pair(tmp_path)
+        try:
+            await pair.start()
+            await scenario(pair)
+        finally:
+            await pair.stop()
+
+    asyncio.run(run())
+
+
+async def counts(scheduler, path, status, since):
+    """Asks for the length of a queue until the answer has a status.
+
+    Returns the other statuses of requests sent after the bound.
+    """
+    late = set()
+    while True:
+        sent_at = time.monotonic()
+        answer = await scheduler.request(scheduler.front, path=path)
+        if answer.status == status:
+            return late
+        if sent_at > since + APPLY_S:
+            late.add(answer.status)
+        assert sent_at < since + test_process.TIMEOUT_S, late
+        await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("fault", [503, "silent"])
+class TestTurnedAwayNode:
+    def test_it_follows_the_other_node(self, tmp_path, fault):
+        """Guards against a 404 for a queue that was added, and a 200 for one
+        that was removed, while the store turns the node away (CONFIG)."""
+
+        async def scenario(pair):
+            away = pair.schedulers[1]
+            # Both nodes know each other by then.
+            await asyncio.sleep(2.0)
+            pair.doors[1].fault = fault
+            for cfg, status in ((WITH_ADDED, 200), (WITHOUT_ADDED, 404)):
+                await asyncio.sleep(APPLY_S)
+                pair.store.put("op", "", "config", cfg)
+                late = await counts(away, "/added/", status, time.monotonic())
+                assert late <= {503}
+            code, output = await away.stop()
+            assert code == 0
+            assert "defect" not in output
+
+        run_pair(tmp_path, scenario)
+
+    def test_alone_it_claims_nothing(self, tmp_path, fault):
+        """Guards against a node that tells what it can't know, when neither the
+        store nor another node tells it."""
+
+        async def scenario(pair):
+            leader, away = pair.schedulers
+            await asyncio.sleep(1.0)
+            pair.doors[1].fault = fault
+            leader.process.kill()
+            await leader.process.wait()
+            changed_at = time.monotonic()
+            pair.store.put("op", "", "config", WITH_ADDED)
+            await asyncio.sleep(APPLY_S + 0.1)
+            for path in ("/added/", "/unknown/", "/batch/"):
+                answer = await away.request(away.front, path=path)
+                assert answer.status == 503
+                assert int(answer.headers["retry-after"]) > 0
+            pair.doors[1].fault = 0
+            await counts(away, "/added/", 200, changed_at)
+
+        run_pair(tmp_path, scenario)
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -668,6 +668,9 @@
         if handler is not None:
             handler(node, effect)
 
+    def introduce(self, node, peer):
+        """Tells a node the address of another one, if nodes ask each other."""
+
     # -------------------------------------------------------------- effects
 
     def on_Answer(self, node, effect):  # noqa: N802
@@ -1223,6 +1226,10 @@
     def request_status(self, number, node=None):
         return self.call(events.StatusRequested, job_id(number), node)
 
+    def request_count(self, node=None, prefix=QUEUE.prefix):
+        """Asks for the length of a queue."""
+        return self.call(events.StatusRequested, "", node, prefix=prefix)
+
     def cancel(self, number, node=None):
         return self.call(events.CancelRequested, job_id(number), node)
 
