Decide by a configuration of known age, and ask other nodes for newer rows

Cause: a node took the last configuration that it had read for the newest one, however old, as the store was its only way to a newer one.

Change: each answer of the feed tells up to when the operator's rows are complete. Otherwise the node reads the changes beside the open poll and asks two other nodes, and the request waits for the first answer that is recent enough, for 300 ms at most and not at all if such a round has just failed. Then it is rejected with 503: it has not run. Jobs of known queues are left to the store, and known states of jobs are still told. While the feed is silent or fails, rounds follow each other at 250 ms. Nodes learn each other's addresses from the leader's row and from each other, answer at the third port of their range, and pass on rows with their age. Rows are kept by the store's version, so an older one never replaces a newer one; a node without a configuration takes one from another node only if it was current after its own process started. The bound replaces the wait of 2 s for the operator's feed with 0.35 of it. Lengths of queues that are older than 2 s are not told.

The whole suite passes.

--- a/packages/core/src/skylarklug/scheduler/effects.py
+++ b/packages/core/src/skylarklug/scheduler/effects.py
@@ -84,6 +84,20 @@
     epoch: int
 
 
+class ReadOperatorRows(NamedTuple):
+    """Read the changes of the operator's rows now, beside the open poll."""
+
+
+class AskPeer(NamedTuple):
+    """Ask another node for newer rows of the operator.
+
+    Rows that the peer does not know as of `oldest_at` or later are ignored.
+    """
+
+    address: str
+    oldest_at: int
+
+
 class PollWorker(NamedTuple):
     """Renew a worker's lease and fetch its runs and the ends of runs.
 
--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -132,14 +132,18 @@
 
 
 class ConfigurationRead(NamedTuple):
-    """A version of the operator's configuration was read."""
+    """A version of the operator's configuration was read.
+
+    `source` is "store" or the address of the peer that has told it.
+    """
 
     at: int
     cfg: records.Configuration
+    source: str = "store"
 
 
 class OperatorRowsRead(NamedTuple):
-    """All changes of the operator's rows up to `current_at` have been read.
+    """The store has told all changes of the operator's rows up to a time.
 
     Comes after the events of the rows.
     """
@@ -148,6 +152,34 @@
     current_at: int
 
 
+class OperatorRowsUnread(NamedTuple):
+    """A `ReadOperatorRows` has failed."""
+
+    at: int
+
+
+class PeerAnswered(NamedTuple):
+    """Result of an `AskPeer`; comes after the events of the peer's rows.
+
+    `current_at` is up to when the peer knows all changes of the operator's
+    rows; -1 if it has told none. `addresses` are those of other peers. `ok` is
+    false if there was no answer.
+    """
+
+    at: int
+    address: str
+    ok: bool
+    current_at: int = -1
+    addresses: tuple[str, ...] = ()
+
+
+class PeerCalled(NamedTuple):
+    """A node that answers at `address` has asked this one."""
+
+    at: int
+    address: str
+
+
 class WaveRequested(NamedTuple):
     """The operator requests a wave of maintenance."""
 
--- a/packages/core/src/skylarklug/scheduler/intake.py
+++ b/packages/core/src/skylarklug/scheduler/intake.py
@@ -22,6 +22,8 @@
 STORE_TIMEOUT_SHARE = 0.45
 # Minimum time limit of a store call, for clients with a short deadline.
 MIN_STORE_TIMEOUT_MS = 100
+# Age that the length of a queue may have.
+MAX_LENGTH_AGE_MS = 2_000
 # A job id is a hexadecimal number with this many digits.
 JOB_ID_LENGTH = 16
 _HEX = frozenset("0123456789abcdef")
@@ -75,15 +77,39 @@
     return max(MIN_STORE_TIMEOUT_MS, int(deadline_ms * STORE_TIMEOUT_SHARE))
 
 
-def _resolve(state, event, effects):
-    """Returns (queue, rest of the path), or answers and returns None."""
-    state.open_requests[event.req] = state.now
+def _is_store_lost(state):
+    return rejection.is_store_lost(state.store_lost_at, state.now)
+
+
+def _resolve(state, event, effects, needs_store=False):
+    """Returns (queue, rest of the path) unless the request is not decided.
+
+    Otherwise it has been answered, or waits for a newer configuration, and
+    comes back to its handler; then None is returned.
+
+    Args:
+        state: State of the node.
+        event: The request.
+        effects: List to which effects are appended.
+        needs_store: Whether the request can only be served by the store.
+    """
+    state.open_requests.setdefault(event.req, state.now)
     cfg = state.configuration
     if cfg is None:
         _refuse(state, effects, event.req, 503, "", "no configuration yet")
         return None
+    is_current = freshness.is_current(state)
+    if not is_current and freshness.may_become_current(state):
+        if not needs_store or not _is_store_lost(state):
+            state.undecided[event.req] = event
+            freshness.confirm(state, effects)
+            _decide_waiting(state, effects)
+            return None
     freshness.measure(state, effects)
     queue = cfg.match(event.host, event.path)
+    if queue is None and not is_current:
+        _refuse_outdated(state, effects, event.req)
+        return None
     if queue is None:
         reason = f"no queue in configuration {cfg.version}"
         _refuse(state, effects, event.req, 404, "", reason)
@@ -91,6 +117,32 @@
     return queue, event.path[len(queue.prefix) :]
 
 
+def _refuse_outdated(state, effects, req):
+    """Rejects a request about a queue that may be new, or removed."""
+    reason = f"version {state.configuration.version} may be outdated"
+    _refuse(state, effects, req, 503, "", reason)
+
+
+def _decide_waiting(state, effects):
+    """Serves the requests that have waited for a newer configuration."""
+    if not freshness.is_current(state) and not freshness.is_round_over(state):
+        return
+    waiting, state.undecided = state.undecided, {}
+    for req, event in waiting.items():
+        if req not in state.open_requests:
+            continue
+        try:
+            HANDLERS[type(event)](state, event, effects)
+        except Exception:
+            _refuse(state, effects, req, 504, "", "unexpected error")
+            raise
+
+
+def _on_news(state, event, effects):
+    if state.undecided:
+        _decide_waiting(state, effects)
+
+
 def _is_job_id(text):
     return len(text) == JOB_ID_LENGTH and _HEX.issuperset(text.lower())
 
@@ -118,7 +170,7 @@
 
 
 def _on_submitted(state, event, effects):
-    resolved = _resolve(state, event, effects)
+    resolved = _resolve(state, event, effects, needs_store=True)
     if resolved is None:
         return
     queue, job = resolved
@@ -128,7 +180,7 @@
     if problem:
         _refuse(state, effects, event.req, 400, job, problem)
         return
-    if rejection.is_store_lost(state.store_lost_at, state.now):
+    if _is_store_lost(state):
         reason = "the store does not serve this node (submit)"
         _refuse(state, effects, event.req, 503, job, reason, queue.priority)
         return
@@ -181,8 +233,11 @@
         return
     queue, job = resolved
     if not job:
-        if state.leadership_read_at < 0:
-            reason = "queue lengths are not known yet"
+        if not freshness.is_current(state):
+            _refuse_outdated(state, effects, event.req)
+            return
+        if not _are_lengths_known(state):
+            reason = "queue lengths are not known"
             _refuse(state, effects, event.req, 503, "", reason)
             return
         waiting = state.heartbeat.get("waiting", {}).get(queue.name, 0)
@@ -192,13 +247,20 @@
     if known in records.FINAL_STATES:
         _answer(state, effects, event.req, 200, {"state": known})
         return
-    if rejection.is_store_lost(state.store_lost_at, state.now):
+    if _is_store_lost(state):
         _answer_known_state(state, effects, event.req, job)
         return
     done = functools.partial(_on_state_read, event.req, job)
     _read_work_row(state, effects, event, job, done)
 
 
+def _are_lengths_known(state):
+    """Returns whether the store has told the latest lengths of queues."""
+    if state.leadership_read_at < 0:
+        return False
+    return state.now - state.leadership_read_at <= MAX_LENGTH_AGE_MS
+
+
 def _read_work_row(state, effects, event, job, done):
     """Reads a job's `work` row, or answers at once if the id is invalid."""
     if not _is_job_id(job):
@@ -280,7 +342,12 @@
 
 
 HANDLERS = {
+    events.FeedFailed: _on_news,
     events.JobSubmitted: _on_submitted,
+    events.OperatorRowsRead: _on_news,
+    events.OperatorRowsUnread: _on_news,
+    events.PeerAnswered: _on_news,
+    events.Tick: _on_news,
     events.StatusRequested: _on_status_requested,
     events.CancelRequested: _on_cancel_requested,
 }
--- a/packages/core/src/skylarklug/scheduler/leadership.py
+++ b/packages/core/src/skylarklug/scheduler/leadership.py
@@ -151,6 +151,7 @@
         "epoch": epoch,
         "released": released,
         "address": state.cfg.watch_address,
+        "peer_address": state.cfg.peer_address,
         "capacity": state.cfg.capacity,
         "largest": max(state.cfg.capacity, _largest_capacity(state)),
         # Leaders of earlier builds do not keep the row of leases, and do not
--- a/packages/core/src/skylarklug/scheduler/lifecycle.py
+++ b/packages/core/src/skylarklug/scheduler/lifecycle.py
@@ -38,6 +38,7 @@
     fields = {
         "version": event.cfg.version,
         "queues": len(event.cfg.queues),
+        "source": event.source,
     }
     effects.append(fx.Log("info", "configuration", fields))
     _update_ready(state, effects)
--- a/packages/core/src/skylarklug/scheduler/records.py
+++ b/packages/core/src/skylarklug/scheduler/records.py
@@ -251,6 +251,10 @@
             task starts by it.
         watch_address: The "host:port" to which other nodes connect in order to
             detect the exit of this process; empty for none.
+        configuration_age_ms: Age that the known configuration may have when a
+            request is decided by it.
+        peer_address: The "host:port" at which this node answers others; empty
+            if it does not.
     """
 
     node: str
@@ -263,3 +267,5 @@
     machine_lease_ms: int = 3_000
     entry_notice_ms: int = 3_000
     watch_address: str = ""
+    configuration_age_ms: int = 2_000
+    peer_address: str = ""
--- a/packages/core/src/skylarklug/scheduler/reducer.py
+++ b/packages/core/src/skylarklug/scheduler/reducer.py
@@ -11,6 +11,7 @@
 from skylarklug.scheduler import lifecycle
 from skylarklug.scheduler import maintenance
 from skylarklug.scheduler import orders
+from skylarklug.scheduler import peers
 from skylarklug.scheduler import placement
 from skylarklug.scheduler import progress
 from skylarklug.scheduler import records
@@ -24,6 +25,7 @@
 MODULES = (
     lifecycle,
     store,
+    peers,
     freshness,
     leadership,
     succession,
@@ -65,6 +67,8 @@
     """
     effects = []
     state.now = max(state.now, event.at)
+    if state.started_at < 0:
+        state.started_at = event.at
     for handler in HANDLERS.get(type(event), ()):
         try:
             handler(state, event, effects)
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -612,6 +612,29 @@
         # All changes of the operator's rows up to this time have been read; -1
         # before the first read.
         self.operator_current_at = -1
+        # When the store last answered a poll of these rows, and whether the
+        # last poll has failed.
+        self.operator_answered_at = 0
+        self.operator_feed_failed = False
+        # Whether the last log line said that the configuration is current.
+        self.configuration_current = False
+        # Start of the round that asks for newer rows, -1 while there is none;
+        # its answers that are still due; the end of the last one, if the
+        # configuration was not current then, or -1.
+        self.round_started_at = -1
+        self.round_answers_due = 0
+        self.round_failed_at = -1
+        self.round_due_at = 0
+        # Requests that wait for a round, by id.
+        self.undecided: dict[str, Any] = {}
+        # Nodes that may be asked, by address.
+        self.peers: dict[str, Any] = {}
+        # The one that knew the newest rows; empty for none.
+        self.best_peer = ""
+        self.leader_peer = ""
+        self.greeting_due_at = 0
+        # Time of the first event.
+        self.started_at = -1
         self.waves: dict[int, records.Wave] = {}
         self.ready = False
         self.stopping_at = 0
--- a/packages/node/src/skylarklugd/feeds.py
+++ b/packages/node/src/skylarklugd/feeds.py
@@ -62,6 +62,22 @@
         """Stops the feed; `on_rows` is not called again."""
         self._task.cancel()
 
+    async def read_now(self):
+        """Reads the latest changes beside the open poll.
+
+        Raises:
+            Unavailable: The store did not answer, or refused the request.
+            HistoryLost: The store no longer has all of the changes.
+        """
+        sent_at = clocks.boot_ms()
+        if self._version is None:
+            _, rows = await self._store.scan(self._table)
+        else:
+            _, rows = await self._store.changes(self._table, self._version, 0)
+        self._on_rows(self._table, self._version is None, rows)
+        if self._on_current is not None:
+            self._on_current(self._table, sent_at)
+
     async def _run(self):
         while True:
             try:
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -10,12 +10,15 @@
 from skylarklug import exceptions
 from skylarklug.scheduler import effects as fx
 from skylarklug.scheduler import events
+from skylarklug.scheduler import freshness
+from skylarklug.scheduler import peers
 from skylarklug.scheduler import records
 from skylarklug.scheduler import reducer
 from skylarklugd import clocks
 from skylarklugd import feeds
 from skylarklugd import logs
 from skylarklugd import output
+from skylarklugd import peer_rows
 
 # Interval between ticks while this node is the leader or is stopping.
 LEADER_TICK_MS = 25
@@ -38,6 +41,9 @@
         machines: Has `list`, `begin_maintenance`.
         leader: Has `watch`.
         rows: Converts rows of a watched table to events.
+        peers: Has `ask`.
+        identify: Returns (key, version) of a row of the operator, or None if
+            it has none.
     """
 
     store: Any
@@ -47,6 +53,8 @@
     machines: Any
     leader: Any
     rows: Any
+    peers: Any = None
+    identify: Any = lambda row: None
 
 
 class Node:
@@ -69,11 +77,13 @@
         self._queue = collections.deque()
         self._dispatching = False
         self._feeds: dict[str, feeds.Feed] = {}
+        self._operator_rows = peer_rows.RowCache()
         self._pending_calls = set()
         self._ports: Ports | None = None
         self._exited = None
         self._effect_handlers = {
             fx.Answer: self._answer,
+            fx.AskPeer: self._ask_peer,
             fx.RequestAdvice: self._request_advice,
             fx.BeginMaintenance: self._begin_maintenance,
             fx.CloseConnections: self._close_connections,
@@ -86,6 +96,7 @@
             fx.PollWorker: self._poll_worker,
             fx.Measure: self._measure,
             fx.SetPace: self._set_pace,
+            fx.ReadOperatorRows: self._read_operator_rows,
             fx.ReadRows: self._read_rows,
             fx.ReportWave: self._report_wave,
             fx.SetReady: self._set_ready,
@@ -102,10 +113,13 @@
 
         Args:
             ports: Adapters to external services.
-            tables: Names of the tables to watch from the start.
+            tables: Names of the tables to watch from the start, beside that of
+                the operator.
         """
         self._ports = ports
         self._exited = asyncio.get_running_loop().create_future()
+        wait_ms = freshness.watch_wait_ms(self._state.cfg)
+        self._watch_table(fx.WatchTable(freshness.TABLE, wait_ms))
         for table in tables:
             self._watch_table(fx.WatchTable(table))
         tick_task = asyncio.get_running_loop().create_task(self._run_ticks())
@@ -241,16 +255,103 @@
     def _watch_leader(self, effect):
         self._ports.leader.watch(effect.address, effect.epoch)
 
+    def answer_peer(self, version: int, address: str) -> peer_rows.Answer:
+        """Returns what another node gets that asks for newer rows.
+
+        Args:
+            version: It has the rows up to this version.
+            address: Address at which it answers; empty if it does not.
+        """
+        if address:
+            self.dispatch(events.PeerCalled(clocks.boot_ms(), address))
+        return peer_rows.Answer(
+            freshness.age_ms_at(self._state, clocks.boot_ms()),
+            self._operator_rows.newer_than(version),
+            tuple(peers.shared_addresses(self._state)),
+        )
+
     def _on_rows(self, table, is_snapshot, rows):
+        if table == freshness.TABLE:
+            rows = self._operator_rows.add(rows, self._ports.identify)
         for event in self._ports.rows(
             clocks.boot_ms(), table, is_snapshot, rows
         ):
             self.dispatch(event)
 
     def _on_current(self, table, current_at):
-        if table == "operator":
+        if table == freshness.TABLE:
             self.dispatch(events.OperatorRowsRead(clocks.boot_ms(), current_at))
 
+    def _read_operator_rows(self, effect):
+        self._spawn(
+            self._run_operator_read(self._feeds[freshness.TABLE]),
+            events.OperatorRowsUnread,
+        )
+
+    async def _run_operator_read(self, feed):
+        try:
+            await feed.read_now()
+        except exceptions.SkylarklugError:
+            self.dispatch(events.OperatorRowsUnread(clocks.boot_ms()))
+
+    def _ask_peer(self, effect):
+        self._spawn(
+            self._run_peer_call(effect),
+            lambda at: events.PeerAnswered(at, effect.address, False),
+        )
+
+    async def _run_peer_call(self, effect):
+        sent_at = clocks.boot_ms()
+        try:
+            answer = await self._ports.peers.ask(
+                effect.address, self._operator_rows.version
+            )
+        except exceptions.SkylarklugError as exc:
+            fields = {"step": exc.step, "peer": exc.peer, "reason": exc.reason}
+            self.log("warning", "peer-failed", fields)
+            self._count_peer_call("failed")
+            now = clocks.boot_ms()
+            self.dispatch(events.PeerAnswered(now, effect.address, False))
+            return
+        self._count_peer_call("answered")
+        current_at = -1
+        if answer.age_ms >= 0:
+            current_at = max(-1, sent_at - answer.age_ms)
+        if current_at >= effect.oldest_at:
+            self._on_peer_rows(effect.address, answer.rows)
+        else:
+            current_at = -1
+        self.dispatch(
+            events.PeerAnswered(
+                clocks.boot_ms(),
+                effect.address,
+                True,
+                current_at,
+                answer.addresses,
+            )
+        )
+
+    def _count_peer_call(self, result):
+        attributes = {"result": result}
+        self._meters.record("skylarklug.peer.calls", 1, attributes)
+
+    def _on_peer_rows(self, address, rows):
+        for row in rows:
+            if not self._operator_rows.is_newer(row, self._ports.identify):
+                continue
+            found = self._ports.rows(
+                clocks.boot_ms(), freshness.TABLE, False, [row]
+            )
+            if not found:
+                # It is not kept if it can't be read, so that the row of the
+                # store is not taken for a known one.
+                continue
+            self._operator_rows.add([row], self._ports.identify)
+            for event in found:
+                if isinstance(event, events.ConfigurationRead):
+                    event = event._replace(source=address)
+                self.dispatch(event)
+
     def _on_feed_failed(self, table):
         self.dispatch(events.FeedFailed(clocks.boot_ms(), table))
 
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -552,6 +552,7 @@
         node._logger.log = lambda *line: lines.append(line)
         node._ports.callers.answer = lines.append
         node._state.configuration = object()
+        node._state.operator_current_at = 1
         node.dispatch(
             events.StatusRequested(1, "r1", "host", "/batch/x", 1_000)
         )
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -7,6 +7,8 @@
 import orjson
 
 from skylarklug.scheduler import events
+from skylarklug.scheduler import freshness
+from skylarklug.scheduler import peers
 from skylarklug.scheduler import records
 from skylarklug.scheduler import reducer
 
@@ -15,6 +17,8 @@
 # One-way delay between nodes and workers.
 LINK_DELAY_MS = 2
 TICK_INTERVAL_MS = 25
+# Time limit of a call from node to node.
+PEER_TIMEOUT_MS = 500
 # Interval at which watches without changes return.
 WATCH_POLL_MS = 1_000
 MAX_LEASE_MS = 6_000
@@ -471,6 +475,7 @@
             watch_address=f"{name}:9"
             if watch_address is None
             else watch_address,
+            peer_address=f"{name}:8",
         )
         self.sim = sim
         self.name = name
@@ -540,6 +545,8 @@
         self.notices_exits = True
         self.workers = {}
         self.cut_links = set()
+        # Pairs of names of nodes that do not reach each other.
+        self.cut_node_links = set()
         # Workers that no node reaches, and workers whose answers all get lost.
         self.silent_workers = set()
         self.mute_workers = set()
@@ -669,7 +676,9 @@
             handler(node, effect)
 
     def introduce(self, node, peer):
-        """Tells a node the address of another one, if nodes ask each other."""
+        """Tells a node the address of another one."""
+        address = peer.state.cfg.peer_address
+        self.dispatch(node, events.PeerCalled(node.clock.now(), address))
 
     # -------------------------------------------------------------- effects
 
@@ -781,6 +790,72 @@
         for node in list(self.nodes.values()):
             self.send_operator_rows(node)
 
+    def on_ReadOperatorRows(self, node, effect):  # noqa: N802
+        del effect
+        mode = self.store.modes.get(node.name, "ok")
+        if mode == "silent":
+            return
+        if mode == "refuse":
+            self.deliver(node, STORE_DELAY_MS, events.OperatorRowsUnread)
+            return
+        cfg = self.configuration
+        read_at = node.clock.now()
+        self.deliver(
+            node, STORE_DELAY_MS, lambda at: events.ConfigurationRead(at, cfg)
+        )
+        self.deliver(
+            node,
+            STORE_DELAY_MS,
+            lambda at: events.OperatorRowsRead(at, read_at),
+        )
+
+    def on_AskPeer(self, node, effect):  # noqa: N802
+        sent_at = node.clock.now()
+        address = effect.address
+
+        def fail(delay):
+            self.deliver(
+                node,
+                delay,
+                lambda at: events.PeerAnswered(at, address, False),
+            )
+
+        def arrive():
+            found = [n for n in self.nodes.values() if f"{n.name}:8" == address]
+            if not found or frozenset((node.name, found[0].name)) in (
+                self.cut_node_links
+            ):
+                fail(PEER_TIMEOUT_MS)
+                return
+            peer = found[0]
+            if peer.paused_events is not None:
+                fail(PEER_TIMEOUT_MS)
+                return
+            caller = node.state.cfg.peer_address
+            at = peer.clock.now()
+            self.dispatch(peer, events.PeerCalled(at, caller))
+            age_ms = freshness.age_ms_at(peer.state, at)
+            cfg = peer.state.configuration
+            current_at = sent_at - age_ms if age_ms >= 0 else -1
+            if current_at < effect.oldest_at:
+                cfg, current_at = None, -1
+            if cfg is not None:
+                self.deliver(
+                    node,
+                    LINK_DELAY_MS,
+                    lambda at: events.ConfigurationRead(at, cfg, address),
+                )
+            addresses = tuple(peers.shared_addresses(peer.state))
+            self.deliver(
+                node,
+                LINK_DELAY_MS,
+                lambda at: events.PeerAnswered(
+                    at, address, True, current_at, addresses
+                ),
+            )
+
+        self.after(LINK_DELAY_MS, arrive)
+
     def on_UnwatchTable(self, node, effect):  # noqa: N802
         node.watched.pop(effect.table, None)
 
--- a/tests/scheduler/test_freshness.py
+++ b/tests/scheduler/test_freshness.py
@@ -175,7 +175,9 @@
         if answers_first:
             for make in held:
                 sim.dispatch(node, make(node.clock.now()))
-        assert count(sim, node, ADDED.prefix)[0] == 200
+        req = sim.submit(1, fakes.step(), node=node.name, prefix=ADDED.prefix)
+        sim.run(REJECT_MS)
+        assert sim.status(req) == 200
 
 
 class TestRestart:
