Choose peers by a random stream of their own

Peers took their random numbers from the stream that also spreads the claims of leaders, so each exchange changed who claims when.

Change: the choice of peers has a stream of its own.

--- a/packages/core/src/skylarklug/scheduler/peers.py
+++ b/packages/core/src/skylarklug/scheduler/peers.py
@@ -52,8 +52,8 @@
         if peer.is_asked or address == state.best_peer:
             continue
         (failing if peer.failures else answering).append(address)
-    state.rng.shuffle(answering)
-    state.rng.shuffle(failing)
+    state.peer_rng.shuffle(answering)
+    state.peer_rng.shuffle(failing)
     candidates = answering + failing
     best = state.peers.get(state.best_peer)
     if best is not None and not best.is_asked:
@@ -68,7 +68,7 @@
     answering = [a for a, peer in state.peers.items() if not peer.failures]
     if len(answering) <= SHARED_PEERS:
         return answering
-    return state.rng.sample(answering, SHARED_PEERS)
+    return state.peer_rng.sample(answering, SHARED_PEERS)
 
 
 def _ask(state, effects, address):
@@ -102,7 +102,7 @@
         return
     state.leader_peer = address
     _add(state, address)
-    due_at = state.now + state.rng.randrange(FIRST_GREETING_MS)
+    due_at = state.now + state.peer_rng.randrange(FIRST_GREETING_MS)
     state.greeting_due_at = min(state.greeting_due_at, due_at)
 
 
@@ -139,12 +139,12 @@
 def _on_tick(state, event, effects):
     if state.now < state.greeting_due_at:
         return
-    interval_ms = state.rng.uniform(0.5, 1.5) * GREETING_INTERVAL_MS
+    interval_ms = state.peer_rng.uniform(0.5, 1.5) * GREETING_INTERVAL_MS
     state.greeting_due_at = state.now + int(interval_ms)
     addresses = [a for a, peer in state.peers.items() if not peer.is_asked]
     if not addresses:
         return
-    address = state.rng.choice(addresses)
+    address = state.peer_rng.choice(addresses)
     leader = state.peers.get(state.leader_peer)
     if leader and not leader.has_answered and not leader.is_asked:
         address = state.leader_peer
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -627,8 +627,9 @@
         self.round_due_at = 0
         # Requests that wait for a round, by id.
         self.undecided: dict[str, Any] = {}
-        # Nodes that may be asked, by address.
+        # Nodes that may be asked, by address, and what they are chosen by.
         self.peers: dict[str, Any] = {}
+        self.peer_rng = random.Random(f"peers {seed}")
         # The one that knew the newest rows; empty for none.
         self.best_peer = ""
         self.leader_peer = ""
