Deny no queue while the newest configuration can't be read

The adapter skips a configuration of which one value is out of its bounds, and the node denied the queues of that version with 404 for good.

Cause: the node did not know that there is a newer version.

Change: an unreadable configuration is an event; until a newer version is read, unknown queues get 503, known ones are served.

--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -142,6 +142,12 @@
     source: str = "store"
 
 
+class ConfigurationUnreadable(NamedTuple):
+    """The newest version of the operator's configuration is not readable."""
+
+    at: int
+
+
 class OperatorRowsRead(NamedTuple):
     """The store has told all changes of the operator's rows up to a time.
 
--- a/packages/core/src/skylarklug/scheduler/intake.py
+++ b/packages/core/src/skylarklug/scheduler/intake.py
@@ -107,7 +107,7 @@
             return None
     freshness.measure(state, effects)
     queue = cfg.match(event.host, event.path)
-    if queue is None and not is_current:
+    if queue is None and (not is_current or state.newer_unreadable):
         _refuse_outdated(state, effects, event.req)
         return None
     if queue is None:
--- a/packages/core/src/skylarklug/scheduler/lifecycle.py
+++ b/packages/core/src/skylarklug/scheduler/lifecycle.py
@@ -35,6 +35,7 @@
     if current is not None and event.cfg.version <= current.version:
         return
     state.configuration = event.cfg
+    state.newer_unreadable = False
     fields = {
         "version": event.cfg.version,
         "queues": len(event.cfg.queues),
@@ -44,6 +45,10 @@
     _update_ready(state, effects)
 
 
+def _on_unreadable_configuration(state, event, effects):
+    state.newer_unreadable = True
+
+
 def _update_ready(state, effects):
     reason = "configured"
     if state.configuration is None:
@@ -148,6 +153,7 @@
 
 HANDLERS = {
     events.ConfigurationRead: _on_configuration,
+    events.ConfigurationUnreadable: _on_unreadable_configuration,
     events.ConnectionsCounted: _on_connections_counted,
     events.FeedFailed: _on_feed_failed,
     events.RowsChanged: _on_rows,
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -609,6 +609,8 @@
         self.now = 0
         self.wall_offset = 0
         self.configuration: records.Configuration | None = None
+        # Whether there is a newer version that this node can't read.
+        self.newer_unreadable = False
         # All changes of the operator's rows up to this time have been read; -1
         # before the first read.
         self.operator_current_at = -1
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -342,7 +342,9 @@
             found = self._ports.rows(
                 clocks.boot_ms(), freshness.TABLE, False, [row]
             )
-            if not found:
+            if not found or isinstance(
+                found[0], events.ConfigurationUnreadable
+            ):
                 # It is not kept if it can't be read, so that the row of the
                 # store is not taken for a known one.
                 continue
--- a/tests/scheduler/test_freshness.py
+++ b/tests/scheduler/test_freshness.py
@@ -3,6 +3,8 @@
 import pytest
 import scheduler_fakes as fakes
 
+from skylarklug.scheduler import events
+
 # The store confirms a version to the operator; from this time on no request may
 # be decided by an older one.
 APPLY_MS = 2_000
@@ -205,3 +207,19 @@
             cfg = again.state.configuration
             assert cfg is None or cfg.version == WITH_ADDED.version
             assert count(sim, again, ADDED.prefix)[0] != 404
+
+
+class TestUnreadableVersion:
+    def test_no_queue_is_denied(self, deployment):
+        """Guards against a 404 by the former version when the newest one can't
+        be read."""
+        sim = deployment()
+        node = follower(sim)
+        sim.dispatch(node, events.ConfigurationUnreadable(sim.now))
+        for _ in range(20):
+            assert count(sim, node, UNKNOWN_PREFIX)[0] == 503
+            assert count(sim, node, fakes.QUEUE.prefix)[0] == 200
+            sim.run(200)
+        sim.change_configuration(WITH_ADDED)
+        sim.run(100)
+        assert count(sim, node, UNKNOWN_PREFIX)[0] == 404
