Close idle connections to a peer after one of them has timed out

Open channels may go silent for good without a reset. The pool then handed out one dead connection after the other, and each cost a time-out: of a feed, a heartbeat or a client's request.

Change: when an exchange gets no whole response in time, connections to that peer that have been idle since before the request was sent are closed. Those that have answered meanwhile stay.

Result: test_one_timeout_closes_those_that_were_idle fails on the code before (2 connections opened instead of 3); the test of connections that answer holds on both.

--- a/packages/node/src/skylarklugd/client.py
+++ b/packages/node/src/skylarklugd/client.py
@@ -42,12 +42,14 @@
         idle_since: Event loop time at which the latest exchange ended.
         was_opened: Whether the connection was ever established, so that
             `on_closed` will be called.
+        has_timed_out: Whether an exchange has had no whole response in time.
         on_closed: Called with this connection when it is lost.
     """
 
     def __init__(self, on_closed):
         self.idle_since = 0.0
         self.was_opened = False
+        self.has_timed_out = False
         self.on_closed = on_closed
         self._transport = None
         self._parser = httptools.HttpResponseParser(self)
@@ -78,6 +80,7 @@
     def expire(self, reason: str):
         """Fails the exchange in progress unless its response has arrived."""
         if self._response is not None:
+            self.has_timed_out = True
             self.fail(reason)
 
     def fail(self, reason: str):
@@ -236,11 +239,14 @@
                 peer=address,
             )
         reason = f"no whole response in {timeout_ms} ms"
+        sent_at = loop.time()
         response = conn.send(request)
         timer = loop.call_at(expires_at, conn.expire, reason)
         try:
             return await response
         except ConnectionError as exc:
+            if conn.has_timed_out:
+                self._close_idle_since(address, sent_at)
             raise upstream.ExchangeFailed(
                 str(exc), sent=True, step="read response", peer=address
             ) from exc
@@ -329,6 +335,16 @@
         if self._sweep is None:
             self._sweep = loop.call_later(IDLE_TIMEOUT_S, self._close_idle)
 
+    def _close_idle_since(self, address, time):
+        """Closes the connections that have been idle since before a time.
+
+        Open connections to one peer may all go silent at once, without a reset,
+        while new ones work. Each of them would cost a time-out.
+        """
+        for conn in list(self._idle.get(address, ())):
+            if conn.idle_since <= time:
+                conn.fail("another connection to the peer has gone silent")
+
     def _close_idle(self):
         self._sweep = None
         loop = asyncio.get_running_loop()
--- a/tests/node/test_client.py
+++ b/tests/node/test_client.py
@@ -133,6 +133,37 @@
         assert exchange([b""], scenario) == (b"ok", 2)
 
 
+class TestSilentConnections:
+    def test_one_timeout_closes_those_that_were_idle(self):
+        """Guards against one time-out for each pooled connection after all open
+        ones have gone silent."""
+
+        async def scenario(http, peer):
+            await asyncio.gather(get(http, peer), get(http, peer))
+            peer.replies = [b"", OK]
+            with pytest.raises(upstream.ExchangeFailed):
+                await get(http, peer, 100)
+            assert (await get(http, peer)).body == b"ok"
+            return peer.connections
+
+        assert exchange([], scenario) == 3
+
+    def test_connections_that_have_answered_meanwhile_stay(self):
+        """Guards against a slow request that closes working connections."""
+
+        async def scenario(http, peer):
+            peer.replies = [b""]
+            slow = asyncio.ensure_future(get(http, peer, 200))
+            await asyncio.sleep(0.05)
+            await get(http, peer)
+            with pytest.raises(upstream.ExchangeFailed):
+                await slow
+            await get(http, peer)
+            return peer.connections
+
+        assert exchange([], scenario) == 2
+
+
 class TestWaitForConnection:
     """Requests beyond the limit of connections, as to a worker of a gang."""
 
