Send no answer about a queue that a suspended process decided long before

Cause: the age was checked when the answer was decided, not when it was sent.

Change: an answer that tells which queues there are says until when it holds; right before it is sent it becomes a 503 if that is over.

Result: test_answer_of_a_suspended_process_is_not_sent fails without the check (no such field before).

--- a/packages/core/src/skylarklug/scheduler/effects.py
+++ b/packages/core/src/skylarklug/scheduler/effects.py
@@ -14,12 +14,18 @@
 
 
 class Answer(NamedTuple):
-    """Answer a client. `retry_after_s` is 0 for no Retry-After."""
+    """Answer a client. `retry_after_s` is 0 for no Retry-After.
+
+    Unless `valid_until` is 0, the answer holds until then, in ms of the clock
+    of events. If it is sent later, because the process was suspended, the
+    request is rejected instead.
+    """
 
     req: str
     status: int
     body: Mapping[str, Any]
     retry_after_s: int
+    valid_until: int = 0
 
 
 class Check(NamedTuple):
--- a/packages/core/src/skylarklug/scheduler/freshness.py
+++ b/packages/core/src/skylarklug/scheduler/freshness.py
@@ -57,7 +57,12 @@
     """Returns whether requests may be decided by the configuration."""
     if state.configuration is None or state.operator_current_at < 0:
         return False
-    return age_ms(state) <= state.cfg.configuration_age_ms
+    return state.now <= current_until(state)
+
+
+def current_until(state) -> int:
+    """Returns until when requests may be decided by the configuration."""
+    return state.operator_current_at + state.cfg.configuration_age_ms
 
 
 def may_become_current(state) -> bool:
--- a/packages/core/src/skylarklug/scheduler/intake.py
+++ b/packages/core/src/skylarklug/scheduler/intake.py
@@ -31,12 +31,16 @@
 CANCEL_SUFFIX = ".cancel"
 
 
-def _answer(state, effects, req, status, body=None, retry_after_s=0):
+def _answer(
+    state, effects, req, status, body=None, retry_after_s=0, valid_until=0
+):
     received_at = state.open_requests.pop(req, None)
     if received_at is None:
         # The request was aborted before the store answered.
         return
-    effects.append(fx.Answer(req, status, body or {}, retry_after_s))
+    effects.append(
+        fx.Answer(req, status, body or {}, retry_after_s, valid_until)
+    )
     effects.append(
         fx.Measure(
             "skylarklug.answer.duration",
@@ -46,7 +50,9 @@
     )
 
 
-def _refuse(state, effects, req, status, job, reason, priority=0):
+def _refuse(
+    state, effects, req, status, job, reason, priority=0, valid_until=0
+):
     cfg = state.configuration
     fields = {
         "req": req,
@@ -62,7 +68,8 @@
         retry = rejection.retry_after_s(
             state.store_lost_at, state.now, priority
         )
-    _answer(state, effects, req, status, {"reason": reason}, retry)
+    body = {"reason": reason}
+    _answer(state, effects, req, status, body, retry, valid_until)
 
 
 def abort_all(state, effects, reason):
@@ -112,7 +119,16 @@
         return None
     if queue is None:
         reason = f"no queue in configuration {cfg.version}"
-        _refuse(state, effects, event.req, 404, "", reason)
+        valid_until = freshness.current_until(state)
+        _refuse(
+            state,
+            effects,
+            event.req,
+            404,
+            "",
+            reason,
+            valid_until=valid_until,
+        )
         return None
     return queue, event.path[len(queue.prefix) :]
 
@@ -241,7 +257,14 @@
             _refuse(state, effects, event.req, 503, "", reason)
             return
         waiting = state.heartbeat.get("waiting", {}).get(queue.name, 0)
-        _answer(state, effects, event.req, 200, {"waiting": waiting})
+        _answer(
+            state,
+            effects,
+            event.req,
+            200,
+            {"waiting": waiting},
+            valid_until=freshness.current_until(state),
+        )
         return
     known = state.known_states.get(job)
     if known in records.FINAL_STATES:
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -24,6 +24,8 @@
 LEADER_TICK_MS = 25
 # Interval between ticks of any other node.
 FOLLOWER_TICK_MS = 150
+# Retry-After of a request whose answer might be outdated.
+OUTDATED_RETRY_AFTER_S = 1
 # Timeout of a wave report to the operator, and the delay before a retry.
 WAVE_REPORT_TIMEOUT_MS = 1_000
 
@@ -206,6 +208,13 @@
     # -------------------------------------------------------------- effects
 
     def _answer(self, effect):
+        if 0 < effect.valid_until < clocks.boot_ms():
+            fields = {"req": effect.req, "status": effect.status}
+            self.log("warning", "answer-outdated", fields)
+            reason = "the answer was delayed until it might be outdated"
+            effect = fx.Answer(
+                effect.req, 503, {"reason": reason}, OUTDATED_RETRY_AFTER_S
+            )
         self._ports.callers.answer(effect)
 
     def _set_ready(self, effect):
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -20,6 +20,7 @@
 from skylarklug.scheduler import events
 from skylarklug.scheduler import records
 from skylarklugd import client
+from skylarklugd import clocks
 from skylarklugd import scheduler
 
 POLL = {
@@ -544,6 +545,18 @@
 
         assert asyncio.run(run()) == [("jobs", True, ())]
 
+    def test_answer_of_a_suspended_process_is_not_sent(self):
+        """Guards against a 404 that was decided before the process was
+        suspended, and sent when the queue had long been added."""
+        node = node_with()
+        sent = []
+        node._ports.callers.answer = sent.append
+        now = clocks.boot_ms()
+        for until in (now - 1, now + 60_000, 0):
+            node._answer(fx.Answer("r1", 404, {}, 0, until))
+        assert [effect.status for effect in sent] == [503, 404, 404]
+        assert sent[0].retry_after_s > 0
+
     def test_defect_of_one_handler_is_contained(self):
         """Guards against an unexpected error that ends the process, and then
         each process that leads after it."""
