Count only the answers of a round towards its end

Cause: greetings and polls that are answered during a round were counted as its answers, so that it could end as failed while its own were due; requests were then rejected for half a second without a wait. Change: a round keeps whom it waits for.

--- a/packages/core/src/skylarklug/scheduler/freshness.py
+++ b/packages/core/src/skylarklug/scheduler/freshness.py
@@ -16,6 +16,8 @@
 from skylarklug.scheduler import peers
 
 TABLE = "operator"
+# Stands for the store among those that a round asks.
+STORE = "store"
 # Age that is reported before the operator's rows have been read.
 UNKNOWN_AGE_MS = -1
 # Wait of a long poll of the operator's rows, as a share of the age that the
@@ -77,12 +79,12 @@
     if state.round_started_at >= 0:
         return
     state.round_started_at = state.now
-    state.round_answers_due = peers.ask_some(state, effects)
+    state.round_awaited = set(peers.ask_some(state, effects))
     # A feed that fails is repeated at short intervals anyway.
     if not state.operator_feed_failed:
         effects.append(fx.ReadOperatorRows())
-        state.round_answers_due += 1
-    if not state.round_answers_due:
+        state.round_awaited.add(STORE)
+    if not state.round_awaited:
         _end_round(state)
 
 
@@ -116,11 +118,11 @@
     _report(state, effects)
 
 
-def _record_round_answer(state):
+def _record_round_answer(state, source):
     if is_round_over(state):
         return
-    state.round_answers_due -= 1
-    if is_current(state) or not state.round_answers_due:
+    state.round_awaited.discard(source)
+    if is_current(state) or not state.round_awaited:
         _end_round(state)
 
 
@@ -143,16 +145,16 @@
     state.operator_answered_at = state.now
     state.operator_feed_failed = False
     _record_answer(state, effects, event.current_at)
-    _record_round_answer(state)
+    _record_round_answer(state, STORE)
 
 
 def _on_peer_answered(state, event, effects):
     _record_answer(state, effects, event.current_at)
-    _record_round_answer(state)
+    _record_round_answer(state, event.address)
 
 
 def _on_read_failed(state, event, effects):
-    _record_round_answer(state)
+    _record_round_answer(state, STORE)
 
 
 def _on_feed_failed(state, event, effects):
--- a/packages/core/src/skylarklug/scheduler/peers.py
+++ b/packages/core/src/skylarklug/scheduler/peers.py
@@ -41,8 +41,8 @@
         self.has_answered = False
 
 
-def ask_some(state, effects) -> int:
-    """Asks some peers for newer rows; returns how many.
+def ask_some(state, effects) -> list[str]:
+    """Asks some peers for newer rows; returns their addresses.
 
     The one that knew the newest rows is asked, and others by chance.
     """
@@ -58,9 +58,10 @@
     best = state.peers.get(state.best_peer)
     if best is not None and not best.is_asked:
         candidates.insert(0, state.best_peer)
-    for address in candidates[:PEERS_AT_ONCE]:
+    chosen = candidates[:PEERS_AT_ONCE]
+    for address in chosen:
         _ask(state, effects, address)
-    return len(candidates[:PEERS_AT_ONCE])
+    return chosen
 
 
 def shared_addresses(state) -> list[str]:
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -621,10 +621,10 @@
         # Whether the last log line said that the configuration is current.
         self.configuration_current = False
         # Start of the round that asks for newer rows, -1 while there is none;
-        # its answers that are still due; the end of the last one, if the
-        # configuration was not current then, or -1.
+        # who has not answered it; the end of the last one, if the configuration
+        # was not current then, or -1.
         self.round_started_at = -1
-        self.round_answers_due = 0
+        self.round_awaited: set[str] = set()
         self.round_failed_at = -1
         self.round_due_at = 0
         # Requests that wait for a round, by id.
