--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,7 @@
     "placement",
     "interference",
     "leader",
+    "peers",
     "shared_state",
     "memory",
     "control",
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -175,6 +175,14 @@
                 continue
 
 
+class Door(Server):
+    """An address of the store, with faults of its own."""
+
+    def __init__(self, store):
+        super().__init__()
+        self.handle = store.handle
+
+
 class Worker(Server):
     """A worker whose runs end with "done" after `run_ms`."""
 
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -557,6 +557,22 @@
         assert [effect.status for effect in sent] == [503, 404, 404]
         assert sent[0].retry_after_s > 0
 
+    def test_odd_row_of_a_peer_is_not_kept(self):
+        """Guards against a configuration that is taken for a known one because
+        another node has sent it damaged."""
+        node = node_with(rows=store.rows_decoder(lambda *line: None))
+        node._ports = node._ports._replace(identify=wire.identify_row)
+        node._ports.callers.set_ready = lambda ready: None
+        good = {**operator_row("config", standin.CONFIGURATION), "ver": 7}
+        for odd in (None, {}, {**good, "value": "%%%"}, {**good, "ver": "7"}):
+            node._on_peer_rows("10.0.0.1:5", [odd])
+        assert node._state.configuration is None
+        assert not node._state.newer_unreadable
+        assert node.answer_peer(0, "").rows == []
+        node._on_rows("operator", False, [good])
+        assert node._state.configuration.version == 3
+        assert node.answer_peer(0, "").rows == [good]
+
     def test_defect_of_one_handler_is_contained(self):
         """Guards against an unexpected error that ends the process, and then
         each process that leads after it."""
--- a/tests/platform/test_turned_away.py
+++ b/tests/platform/test_turned_away.py
@@ -21,14 +21,6 @@
 WITHOUT_ADDED = {**standin.CONFIGURATION, "version": 12}
 
 
-class Door(standin.Server):
-    """An address of the store, with faults of its own."""
-
-    def __init__(self, store):
-        super().__init__()
-        self.handle = store.handle
-
-
 def free_port_range(count):
     """Returns the first and the last of free ports that follow each other."""
     while True:
@@ -54,7 +46,7 @@
             folder = tmp_path / name
             folder.mkdir()
             scheduler = test_process.SchedulerProcess(folder)
-            door = Door(self.store)
+            door = standin.Door(self.store)
             fields = standin.settings(
                 door.address,
                 scheduler.front,
