Use no answer of a peer of which one row can't be read

What callers saw: nothing; found by reading the change again. If another node sent the newest configuration damaged, the row was left out, but the answer's age was believed: the node took its former configuration for the newest one. The row of a wave with a larger version also hid the damaged row from later questions.

Change: rows of a peer are decoded before any is used; one that can't be read makes the whole answer count as none.

Result: test_answer_of_a_peer_with_an_odd_row_is_not_used, which replaces the test of a single odd row and asks for more, fails on the code before (operator_current_at is set after the first odd answer).

--- a/packages/node/src/skylarklugd/peer_rows.py
+++ b/packages/node/src/skylarklugd/peer_rows.py
@@ -55,15 +55,6 @@
         # The greatest version of a row.
         self.version = 0
 
-    def is_newer(self, row, identify) -> bool:
-        """Returns whether a row has a larger version than the known one."""
-        identity = identify(row)
-        if identity is None:
-            return False
-        key, version = identity
-        known = self._rows.get(key)
-        return known is None or version > known[0]
-
     def add(self, rows, identify) -> list[Any]:
         """Adds rows; returns those that are newer than the known ones.
 
@@ -75,9 +66,10 @@
             if identity is None:
                 newer.append(row)
                 continue
-            if not self.is_newer(row, identify):
-                continue
             key, version = identity
+            known = self._rows.get(key)
+            if known is not None and version <= known[0]:
+                continue
             self._rows[key] = (version, row)
             self.version = max(self.version, version)
             newer.append(row)
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -315,6 +315,7 @@
             answer = await self._ports.peers.ask(
                 effect.address, self._operator_rows.version
             )
+            decoded = self._decode_peer_rows(effect.address, answer.rows)
         except exceptions.SkylarklugError as exc:
             fields = {"step": exc.step, "peer": exc.peer, "reason": exc.reason}
             self.log("warning", "peer-failed", fields)
@@ -327,7 +328,7 @@
         if answer.age_ms >= 0:
             current_at = max(-1, sent_at - answer.age_ms)
         if current_at >= effect.oldest_at:
-            self._on_peer_rows(effect.address, answer.rows)
+            self._apply_peer_rows(decoded)
         else:
             current_at = -1
         self.dispatch(
@@ -344,23 +345,36 @@
         attributes = {"result": result}
         self._meters.record("skylarklug.peer.calls", 1, attributes)
 
-    def _on_peer_rows(self, address, rows):
+    def _decode_peer_rows(self, address, rows):
+        """Returns the rows of a peer, each with its events.
+
+        Raises:
+            ProtocolError: A row is not readable. None of them is used then: the
+                others would seem to be all that there are.
+        """
+        decoded = []
         for row in rows:
-            if not self._operator_rows.is_newer(row, self._ports.identify):
-                continue
             found = self._ports.rows(
                 clocks.boot_ms(), freshness.TABLE, False, [row]
             )
-            if not found or isinstance(
-                found[0], events.ConfigurationUnreadable
-            ):
-                # It is not kept if it can't be read, so that the row of the
-                # store is not taken for a known one.
+            is_readable = self._ports.identify(row) is not None
+            for index, event in enumerate(found):
+                if isinstance(event, events.ConfigurationUnreadable):
+                    is_readable = False
+                if isinstance(event, events.ConfigurationRead):
+                    found[index] = event._replace(source=address)
+            if not is_readable:
+                raise exceptions.ProtocolError(
+                    "a row is not readable", step="ask peer", peer=address
+                )
+            decoded.append((row, found))
+        return decoded
+
+    def _apply_peer_rows(self, decoded):
+        for row, found in decoded:
+            if not self._operator_rows.add([row], self._ports.identify):
                 continue
-            self._operator_rows.add([row], self._ports.identify)
             for event in found:
-                if isinstance(event, events.ConfigurationRead):
-                    event = event._replace(source=address)
                 self.dispatch(event)
 
     def _on_feed_failed(self, table):
--- a/tests/node/test_peer_rows.py
+++ b/tests/node/test_peer_rows.py
@@ -61,7 +61,6 @@
         new, old = {"key": "a", "ver": 7}, {"key": "a", "ver": 5}
         assert cache.add([new], identify) == [new]
         assert cache.add([old, new], identify) == []
-        assert not cache.is_newer(old, identify)
         assert cache.newer_than(0) == [new]
         assert cache.newer_than(7) == []
         assert cache.version == 7
@@ -71,7 +70,6 @@
         cache = peer_rows.RowCache()
         odd = {"key": "a"}
         assert cache.add([odd], identify) == [odd]
-        assert not cache.is_newer(odd, identify)
         assert cache.newer_than(0) == []
 
 
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -21,6 +21,7 @@
 from skylarklug.scheduler import records
 from skylarklugd import client
 from skylarklugd import clocks
+from skylarklugd import peer_rows
 from skylarklugd import scheduler
 
 POLL = {
@@ -557,21 +558,37 @@
         assert [effect.status for effect in sent] == [503, 404, 404]
         assert sent[0].retry_after_s > 0
 
-    def test_odd_row_of_a_peer_is_not_kept(self):
-        """Guards against a configuration that is taken for a known one because
-        another node has sent it damaged."""
-        node = node_with(rows=store.rows_decoder(lambda *line: None))
-        node._ports = node._ports._replace(identify=wire.identify_row)
-        node._ports.callers.set_ready = lambda ready: None
+    def test_answer_of_a_peer_with_an_odd_row_is_not_used(self):
+        """Guards against a configuration that is taken for a known one, or for
+        the newest one, because another node has sent a newer one damaged."""
         good = {**operator_row("config", standin.CONFIGURATION), "ver": 7}
+        wave = {**operator_row("wave/1", WAVE), "ver": 9}
+        answers = []
         for odd in (None, {}, {**good, "value": "%%%"}, {**good, "ver": "7"}):
-            node._on_peer_rows("10.0.0.1:5", [odd])
-        assert node._state.configuration is None
-        assert not node._state.newer_unreadable
-        assert node.answer_peer(0, "").rows == []
-        node._on_rows("operator", False, [good])
+            answers.append(peer_rows.Answer(5, [odd, wave], ()))
+        answers.append(peer_rows.Answer(5, [good, wave], ()))
+
+        class Peers:
+            async def ask(self, address, version):
+                assert version == 0
+                return answers.pop(0)
+
+        node = node_with(
+            rows=store.rows_decoder(lambda *line: None), peers=Peers()
+        )
+        node._ports = node._ports._replace(identify=wire.identify_row)
+        node._ports.callers.set_ready = lambda ready: None
+        effect = fx.AskPeer("10.0.0.1:5", 0)
+        while len(answers) > 1:
+            asyncio.run(node._run_peer_call(effect))
+            assert node._state.configuration is None
+            assert not node._state.newer_unreadable
+            assert node._state.operator_current_at == -1
+            assert node.answer_peer(0, "").rows == []
+        asyncio.run(node._run_peer_call(effect))
         assert node._state.configuration.version == 3
-        assert node.answer_peer(0, "").rows == [good]
+        assert node._state.operator_current_at > 0
+        assert node.answer_peer(0, "").rows == [good, wave]
 
     def test_defect_of_one_handler_is_contained(self):
         """Guards against an unexpected error that ends the process, and then
