Share the code of feeds, fakes and test ports that was written twice

A read beside the open poll repeated the read of the poll, and looked at the version again after the answer, when the poll might have set it. The simulation sent the operator's rows by two copies of one piece of code, and the tests had four functions that find ports in a row.

Change: both reads of a feed share one read and one delivery; the simulation has one function, the tests one and the soaks one. No assertion has changed, and no behaviour but that a read says what it was when it was sent.

--- a/packages/node/src/skylarklugd/feeds.py
+++ b/packages/node/src/skylarklugd/feeds.py
@@ -70,13 +70,8 @@
             HistoryLost: The store no longer has all of the changes.
         """
         sent_at = clocks.boot_ms()
-        if self._version is None:
-            _, rows = await self._store.scan(self._table)
-        else:
-            _, rows = await self._store.changes(self._table, self._version, 0)
-        self._on_rows(self._table, self._version is None, rows)
-        if self._on_current is not None:
-            self._on_current(self._table, sent_at)
+        is_snapshot, _, rows = await self._read(0)
+        self._deliver(is_snapshot, rows, sent_at)
 
     async def _run(self):
         while True:
@@ -102,21 +97,21 @@
     async def _fetch(self):
         # The store reads the rows after it has received the request.
         sent_at = clocks.boot_ms()
-        await self._read()
-        if self._on_current is not None:
-            self._on_current(self._table, sent_at)
+        is_snapshot, self._version, rows = await self._read(self._wait_ms)
+        self._deliver(is_snapshot, rows, sent_at)
 
-    async def _read(self):
+    async def _read(self, wait_ms):
+        """Returns (is_snapshot, version, rows)."""
         if self._version is None:
-            version, rows = await self._store.scan(self._table)
-            self._version = version
-            self._on_rows(self._table, True, rows)
-            return
-        version, rows = await self._store.changes(
-            self._table, self._version, self._wait_ms
+            return True, *await self._store.scan(self._table)
+        return False, *await self._store.changes(
+            self._table, self._version, wait_ms
         )
-        self._version = version
-        self._on_rows(self._table, False, rows)
+
+    def _deliver(self, is_snapshot, rows, current_at):
+        self._on_rows(self._table, is_snapshot, rows)
+        if self._on_current is not None:
+            self._on_current(self._table, current_at)
 
     async def _back_off(self, exc):
         if not self._failures:
--- a/tests/platform/soak/configuration.py
+++ b/tests/platform/soak/configuration.py
@@ -32,16 +32,6 @@
 FAULTS = (503, 429, "silent")
 
 
-def free_port_range():
-    """Returns three free ports in a row, as first and last."""
-    while True:
-        first, _, last = (
-            int(workers_lib.free_address().rpartition(":")[2]) for _ in range(3)
-        )
-        if last == first + 2:
-            return [first, last]
-
-
 class Play:
     """Plays one seed."""
 
@@ -61,7 +51,7 @@
             door = standin.Door(self.store)
             node = play_lib.Node(f"node-{number}", door, folder, self.ledger)
             fields = json.loads(node.path.read_text())
-            fields["port_range"] = free_port_range()
+            fields["port_range"] = workers_lib.free_port_range(3)
             node.path.write_text(json.dumps(fields))
             self.doors.append(door)
             self.nodes.append(node)
--- a/tests/platform/soak/play.py
+++ b/tests/platform/soak/play.py
@@ -52,7 +52,7 @@
         self.log = open(folder / f"{name}.log", "wb")  # noqa: SIM115
         self.front = workers_lib.free_address()
         ready = workers_lib.free_address()
-        ports = workers_lib.free_port_pair()
+        ports = workers_lib.free_port_range(2)
         fields = standin.settings(store.address, self.front, ready, ports)
         self.path.write_text(json.dumps({**fields, "node": name}))
 
--- a/tests/platform/soak/workers.py
+++ b/tests/platform/soak/workers.py
@@ -31,14 +31,12 @@
             return f"127.0.0.1:{port}"
 
 
-def free_port_pair():
-    """Returns two free ports in a row, for metrics and for the exit watch."""
+def free_port_range(count):
+    """Returns the first and the last of free ports in a row."""
     while True:
-        first, second = (
-            int(free_address().rpartition(":")[2]) for _ in range(2)
-        )
-        if second == first + 1:
-            return [first, second]
+        ports = [int(free_address().rpartition(":")[2]) for _ in range(count)]
+        if ports[-1] == ports[0] + count - 1:
+            return [ports[0], ports[-1]]
 
 
 class Store(standin.Store):
--- a/tests/platform/test_exit_watch.py
+++ b/tests/platform/test_exit_watch.py
@@ -11,25 +11,13 @@
 import test_process
 
 
-def free_port_pair():
-    """Returns two free ports that follow each other."""
-    while True:
-        (port,) = test_process.free_ports(1)
-        with socket.socket() as bound:
-            try:
-                bound.bind(("127.0.0.1", port + 1))
-            except (OSError, OverflowError):
-                continue
-        return [port, port + 1]
-
-
 def prepare(tmp_path, name, store):
     """Returns a process that has not been started, and its watch port."""
     folder = tmp_path / name
     folder.mkdir()
     scheduler = test_process.SchedulerProcess(folder)
     scheduler.store = store
-    ports = free_port_pair()
+    ports = test_process.free_port_range(2)
     fields = standin.settings(
         store.address, scheduler.front, scheduler.ready, ports
     )
@@ -157,7 +145,7 @@
     def test_port_in_use(self, tmp_path):
         """Guards against a process that does not start because another one
         has its second port, or tells others to watch there."""
-        first, second = free_port_pair()
+        first, second = test_process.free_port_range(2)
         with socket.socket() as other:
             other.bind(("127.0.0.1", second))
             other.listen()
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -32,6 +32,19 @@
     return ports
 
 
+def free_port_range(count):
+    """Returns the first and the last of free ports that follow each other."""
+    while True:
+        (first,) = free_ports(1)
+        try:
+            for port in range(first, first + count):
+                with socket.socket() as bound:
+                    bound.bind(("127.0.0.1", port))
+        except (OSError, OverflowError):
+            continue
+        return [first, first + count - 1]
+
+
 async def wait_until(condition):
     """Waits until `await condition()` is true."""
 
--- a/tests/platform/test_turned_away.py
+++ b/tests/platform/test_turned_away.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 import time
 
 import platform_standin as standin
@@ -21,19 +20,6 @@
 WITHOUT_ADDED = {**standin.CONFIGURATION, "version": 12}
 
 
-def free_port_range(count):
-    """Returns the first and the last of free ports that follow each other."""
-    while True:
-        (first,) = test_process.free_ports(1)
-        try:
-            for port in range(first, first + count):
-                with socket.socket() as bound:
-                    bound.bind(("127.0.0.1", port))
-        except (OSError, OverflowError):
-            continue
-        return [first, first + count - 1]
-
-
 class Pair:
     """Two processes; the first one leads, and each has a door of its own."""
 
@@ -51,7 +37,7 @@
                 door.address,
                 scheduler.front,
                 scheduler.ready,
-                free_port_range(3),
+                test_process.free_port_range(3),
             )
             scheduler.path.write_text(json.dumps({**fields, "node": name}))
             self.doors.append(door)
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -770,6 +770,9 @@
             node.missed.add("operator")
             return
         node.missed.discard("operator")
+        self.deliver_operator_rows(node)
+
+    def deliver_operator_rows(self, node):
         cfg = self.configuration
         read_at = node.clock.now()
         if cfg is not None:
@@ -798,16 +801,7 @@
         if mode == "refuse":
             self.deliver(node, STORE_DELAY_MS, events.OperatorRowsUnread)
             return
-        cfg = self.configuration
-        read_at = node.clock.now()
-        self.deliver(
-            node, STORE_DELAY_MS, lambda at: events.ConfigurationRead(at, cfg)
-        )
-        self.deliver(
-            node,
-            STORE_DELAY_MS,
-            lambda at: events.OperatorRowsRead(at, read_at),
-        )
+        self.deliver_operator_rows(node)
 
     def on_AskPeer(self, node, effect):  # noqa: N802
         sent_at = node.clock.now()
