--- a/review/9/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-cd "$(dirname "$0")/../.." || exit 2
-PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:review/standins-2 exec python3 review/9/case.py
