Tell the ends of two incarnations apart in the check for runs after a noted end

Cause: the simulation's check took "task and attempt" for the identity of an end. When an order without an answer is repeated, a worker that has restarted in between runs the same attempt again. The acknowledged end of the second run then counted for the first one, which the worker had forgotten when it crashed, and the repeated start counted as a start after a noted end.

Change: an acknowledged end is the row of the history that its number had in its incarnation. Nothing else is looser: every noted end counts as before.

--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -237,6 +237,8 @@
         self.lease_until = 0
         self.runs = {}
         self.ends = []
+        # Rows of the history by the number of the end.
+        self.ended_runs = {}
         self.paces = {}
         self.last_acknowledged = 0
         self.rejected_up_to = {}
@@ -316,6 +318,7 @@
         )
         row = (key, attempt, self.name, self.sim.now, outcome)
         self.sim.history.append(row)
+        self.ended_runs[number] = row
         if outcome != "done":
             self.sim.break_gang(key, attempt)
 
@@ -347,10 +350,13 @@
             self.last_acknowledged = end.number
             if end.number in self.lapsed_ends:
                 continue
+            # A later incarnation may run the same attempt again, and the end of
+            # that run is another one.
+            row = self.ended_runs[end.number]
             if end.outcome == "done":
-                self.sim.acknowledged_done.add((end.key, end.attempt))
+                self.sim.acknowledged_done.add(row)
             if end.outcome == "failed":
-                self.sim.acknowledged_failed.add((end.key, end.attempt))
+                self.sim.acknowledged_failed.add(row)
         return "ok", "", self.report()
 
     def report(self):
@@ -522,7 +528,7 @@
         self.refused_requests = 0
         self.starts = []
         self.history = []
-        # Acknowledged ends with the outcome "done", as (key, attempt).
+        # Acknowledged ends with the outcome "done", as rows of the history.
         self.acknowledged_done = set()
         self.acknowledged_failed = set()
         # Tasks that fail on any worker.
@@ -1363,11 +1369,9 @@
     def find_problems(self):
         """Returns all violations of invariants so far."""
         found = list(self.problems)
-        for key, attempt, _, ended_at, outcome in self.history:
-            if (
-                outcome != "done"
-                or (key, attempt) not in self.acknowledged_done
-            ):
+        for row in self.history:
+            key, _, _, ended_at, _ = row
+            if row not in self.acknowledged_done:
                 continue
             for at, other, _, _ in self.starts:
                 if other == key and at > ended_at:
@@ -1377,13 +1381,11 @@
     def find_starts_beyond_budget(self):
         """Returns starts after too many acknowledged failures of a task."""
         failed_at = {}
-        for key, attempt, _, ended_at, outcome in self.history:
+        for row in self.history:
+            key, _, _, ended_at, _ = row
             if self.runs_until_cancelled(key):
                 continue
-            if (
-                outcome == "failed"
-                and (key, attempt) in self.acknowledged_failed
-            ):
+            if row in self.acknowledged_failed:
                 failed_at.setdefault(key, []).append(ended_at)
         found = []
         for at, key, _, _ in self.starts:
