Complete a wave only by lists of machines that were requested after it

Cause: the leader asks for the list of machines only while a wave is in progress, and keeps the last list. The next wave was advanced with it in the tick that requested a new one. A machine that it lacks counted as gone, so nothing remained.

Change: a wave is advanced only by a list that was requested after the leader knew the wave. A machine counts as gone once all lists over two seconds lack it, since the first ones may not have a new machine yet. Lists are dated by their request instead of their answer. By a list older than two seconds no machine is taken down: it may have been down and back with another worker. The answer to a list that a former leadership of the same node has requested is ignored.

The same cause elsewhere: a machine that left while it was drained kept one of the places of those that may be down, for good, and a new leader did not count the machines that its predecessor had taken down.

--- a/packages/core/src/skylarklug/scheduler/maintenance.py
+++ b/packages/core/src/skylarklug/scheduler/maintenance.py
@@ -8,6 +8,12 @@
 
 # Time between two listings of the machines while a wave is in progress.
 LIST_INTERVAL_MS = 500
+# A machine is gone if no list has it that is requested within this time. One
+# that has just been added may be missing in the first ones.
+MISSING_MS = 2_000
+# A machine may have been down and come back with another worker since an older
+# list was requested.
+MAX_LIST_AGE_MS = 2_000
 # A machine whose maintenance was confirmed goes down, unless that had been done
 # before. Its worker gets no tasks until it would be known to be silent.
 GOING_DOWN_MS = state_lib.WORKER_SILENCE_MS
@@ -19,8 +25,11 @@
     """Progress of a maintenance wave.
 
     Attributes:
+        since: When this leader came to know the wave.
         confirmed_at: When the maintenance of each machine was confirmed, by
             machine.
+        missing_since: When the first list was requested that does not have a
+            machine, of the latest ones in a row, by machine.
         finished: Machines that are back up or gone, or that the platform
             rejected for this wave.
         draining: Machines whose workers are being drained.
@@ -28,9 +37,11 @@
         reported: The progress last reported to the operator.
     """
 
-    def __init__(self, wave):
+    def __init__(self, wave, since):
         self.wave = wave
+        self.since = since
         self.confirmed_at: dict[str, int] = {}
+        self.missing_since: dict[str, int] = {}
         self.finished: set[str] = set()
         self.draining: set[str] = set()
         self.pending: set[str] = set()
@@ -57,15 +68,18 @@
         return
     for number, wave in state.waves.items():
         if number not in leader.waves:
-            leader.waves[number] = WaveProgress(wave)
+            leader.waves[number] = WaveProgress(wave, state.now)
     active_waves = [w for w in leader.waves.values() if w.reported != "done"]
     if not active_waves:
         return
     if not leader.list_pending and state.now >= leader.list_due_at:
         leader.list_pending = True
+        leader.list_requested_at = state.now
         effects.append(fx.ListMachines())
     if state.now < leader.maintenance_due_at or leader.machines is None:
         return
+    if state.now > leader.machines_listed_at + MAX_LIST_AGE_MS:
+        return
     leader.maintenance_due_at = state.now + ADVANCE_INTERVAL_MS
     for wave in active_waves:
         _advance_wave(state, effects, wave)
@@ -75,11 +89,14 @@
     leader = state.leader
     if leader is None:
         return
+    if not leader.list_pending:
+        # A former leadership of this node has requested it.
+        return
     leader.list_pending = False
     leader.list_due_at = state.now + LIST_INTERVAL_MS
     if event.ok:
         leader.machines = {m.machine: m for m in event.machines}
-        leader.machines_read_at = state.now
+        leader.machines_listed_at = leader.list_requested_at
 
 
 def _report(effects, wave, progress):
@@ -92,15 +109,16 @@
     """Updates a wave: notes machines that are back up, drains the next ones."""
     leader = state.leader
     _report(effects, wave, "running")
-    for name, at in wave.confirmed_at.items():
-        machine = leader.machines.get(name)
-        is_back = machine is None or machine.state == "up"
-        if is_back and leader.machines_read_at > at + LIST_INTERVAL_MS:
-            wave.finished.add(name)
-    remaining = []
+    if leader.machines_listed_at < wave.since:
+        # It may name machines that have been added since the list was made.
+        return
     for name in wave.wave.machines:
-        if name not in wave.finished and name in leader.machines:
-            remaining.append(name)
+        if name in wave.finished:
+            continue
+        if _is_gone(leader, wave, name) or _is_back(leader, wave, name):
+            wave.finished.add(name)
+            wave.draining.discard(name)
+    remaining = [n for n in wave.wave.machines if n not in wave.finished]
     if not remaining:
         wave.draining.clear()
         _report(effects, wave, "done")
@@ -108,7 +126,10 @@
     for name in remaining:
         if name in wave.confirmed_at or name in wave.pending:
             continue
+        if name not in leader.machines:
+            continue
         in_maintenance = set(wave.confirmed_at) - wave.finished
+        in_maintenance |= _taken_down(leader, remaining)
         if (
             len(in_maintenance | wave.draining | wave.pending)
             < wave.wave.max_count
@@ -118,6 +139,36 @@
             _drain_machine(state, effects, wave, leader.machines[name])
 
 
+def _is_gone(leader, wave, name):
+    """Returns whether a machine has been missing in all lists for a while."""
+    if name in leader.machines:
+        wave.missing_since.pop(name, None)
+        return False
+    listed_at = leader.machines_listed_at
+    return listed_at - wave.missing_since.setdefault(name, listed_at) >= (
+        MISSING_MS
+    )
+
+
+def _taken_down(leader, names):
+    """Returns the machines in maintenance, whichever leader has ordered it."""
+    found = set()
+    for name in names:
+        machine = leader.machines.get(name)
+        if machine is not None and machine.state == "upkeep":
+            found.add(name)
+    return found
+
+
+def _is_back(leader, wave, name):
+    """Returns whether a machine is up again after its maintenance."""
+    machine = leader.machines.get(name)
+    if name not in wave.confirmed_at or machine is None:
+        return False
+    down_at = wave.confirmed_at[name] + LIST_INTERVAL_MS
+    return machine.state == "up" and leader.machines_listed_at > down_at
+
+
 def _drain_machine(state, effects, wave, machine):
     """Drains the worker of a machine, then orders the maintenance."""
     leader = state.leader
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -597,8 +597,9 @@
         self.advice_pending = False
         self.waves: dict[int, Any] = {}
         self.machines: dict[str, records.Machine] | None = None
-        self.machines_read_at = 0
+        self.machines_listed_at = 0
         self.list_pending = False
+        self.list_requested_at = 0
         self.list_due_at = 0
         self.maintenance_due_at = 0
         self.heartbeat_pending = False
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -569,6 +569,9 @@
         self.down = {}
         self.max_down = 0
         self.maintained = []
+        self.maintained_in_wave = set()
+        # The state of each wave that the operator sees.
+        self.stored_reports = {}
         self.ended_by_maintenance = []
         self.reports = []
         self.nodes = {}
@@ -1211,7 +1214,12 @@
     def on_BeginMaintenance(self, node, effect):  # noqa: N802
         machine = effect.machine
         worker = self.workers[machine.removeprefix("m-")]
-        if machine not in self.maintained:
+        done = (machine, effect.wave) in self.maintained_in_wave
+        result = ("ok", "")
+        if not done and machine in self.down:
+            result = ("rejected", "busy")
+        elif not done:
+            self.maintained_in_wave.add((machine, effect.wave))
             self.maintained.append(machine)
             self.ended_by_maintenance.extend(worker.runs)
             self.down[machine] = True
@@ -1226,13 +1234,19 @@
         self.deliver(
             node,
             STORE_DELAY_MS,
-            lambda at: events.MaintenanceAnswered(at, machine, "ok", ""),
+            lambda at: events.MaintenanceAnswered(at, machine, *result),
         )
 
     def on_ReportWave(self, node, effect):  # noqa: N802
-        del node
-        if effect.state not in self.reports[-1:]:
-            self.reports.append(effect.state)
+        """Stores the state of a wave, which never goes back."""
+        if not self.store.is_readable(node):
+            self.after(WATCH_POLL_MS, lambda: self.on_ReportWave(node, effect))
+            return
+        stored = self.stored_reports.get(effect.wave)
+        if stored != "done":
+            stored = self.stored_reports[effect.wave] = effect.state
+        if stored not in self.reports[-1:]:
+            self.reports.append(stored)
 
     # ---------------------------------------------------------------- gangs
 
--- a/tests/scheduler/test_policy.py
+++ b/tests/scheduler/test_policy.py
@@ -40,8 +40,8 @@
 
 
 class TestMaintenanceWaves:
-    def request_wave(self, sim, machines, max_count):
-        wave = records.Wave(1, tuple(machines), 20.0, max_count)
+    def request_wave(self, sim, machines, max_count, number=1):
+        wave = records.Wave(number, tuple(machines), 20.0, max_count)
         for node in sim.nodes.values():
             sim.dispatch(node, events.WaveRequested(sim.now, wave))
 
@@ -89,6 +89,81 @@
         assert sim.reports[-1] == "done"
         assert sim.max_down == 1
 
+    def add_worker(self, sim, name):
+        sim.workers[name] = fakes.Worker(sim, name)
+        sim.publish_workers()
+
+    @pytest.mark.parametrize("take_over", (False, True))
+    def test_new_machine_has_its_maintenance(self, deployment, take_over):
+        """Guards against a wave that is done before the maintenance of a
+        machine which has come since the last list of machines."""
+        sim = deployment(workers=2)
+        self.request_wave(sim, ["m-w0"], 1)
+        sim.run(8_000)
+        assert sim.stored_reports == {1: "done"}
+        self.add_worker(sim, "new")
+        if take_over:
+            sim.kill(sim.leader().name)
+        sim.run(4_000)
+        self.request_wave(sim, ["m-new"], 1, number=2)
+        sim.run(10_000)
+        assert sim.maintained == ["m-w0", "m-new"]
+        assert sim.stored_reports == {1: "done", 2: "done"}
+
+    @pytest.mark.parametrize("delay_ms", (20, 600, 1_500))
+    def test_machine_that_is_not_listed_yet(self, deployment, delay_ms):
+        """Guards against the same for a machine that the first lists after the
+        request do not have."""
+        sim = deployment(workers=2)
+        self.request_wave(sim, ["m-w0", "m-new"], 2)
+        sim.run(delay_ms)
+        self.add_worker(sim, "new")
+        sim.run(10_000)
+        assert set(sim.maintained) == {"m-w0", "m-new"}
+        assert sim.stored_reports == {1: "done"}
+
+    def test_machine_that_has_left(self, deployment):
+        """Guards against a wave that waits for a machine which is gone."""
+        sim = deployment(workers=3)
+        self.request_wave(sim, ["m-gone", "m-w1"], 1)
+        sim.run(10_000)
+        assert sim.maintained == ["m-w1"]
+        assert sim.stored_reports == {1: "done"}
+
+    def test_machine_leaves_while_it_is_drained(self, deployment):
+        """Guards against a machine that has left and keeps the place of those
+        that may be down."""
+        sim = deployment(workers=3)
+        sim.workers["w0"].run_ms = 60_000
+        sim.submit(1, fakes.step(3, cpu=9_000))
+        sim.run(500)
+        self.request_wave(sim, ["m-w0", "m-w1"], 1)
+        sim.run(500)
+        for name in ("w1", "w2"):
+            sim.workers[name].run_ms = 50
+        del sim.workers["w0"]
+        sim.publish_workers()
+        sim.run(20_000)
+        assert sim.maintained == ["m-w1"]
+        assert sim.stored_reports == {1: "done"}
+
+    def test_old_list_takes_no_machine_down(self, deployment):
+        """Guards against maintenance by a list so old that the machine may have
+        another worker by now."""
+        sim = deployment(workers=3)
+        sim.workers["w0"].run_ms = 5_000
+        sim.submit(1, fakes.step(3, cpu=9_000))
+        sim.run(500)
+        self.request_wave(sim, ["m-w0"], 1)
+        sim.run(1_000)
+        list_machines, sim.on_ListMachines = sim.on_ListMachines, None
+        sim.run(8_000)
+        assert not sim.maintained
+        sim.on_ListMachines = list_machines
+        sim.leader().state.leader.list_pending = False
+        sim.run(8_000)
+        assert sim.maintained == ["m-w0"]
+
 
 class TestShortTaskReserve:
     """Short tasks compete with waiting long-running tasks for CPU."""
