Let an answer about maintenance count for the wave that ordered it only

Cause: the answer to an order named the machine but not the wave, and each wave with a pending order for the machine took it for its own. The platform had answered the second order `busy`.

Change: MaintenanceAnswered tells the wave. The simulation's platform keeps the waves of a machine apart too. One older test builds that event, and now names its wave.

Evidence: test_two_waves_of_one_machine fails with the former handling of answers and passes with this one.

--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -282,5 +282,6 @@
 
     at: int
     machine: str
+    wave: int
     result: str
     reason: str
--- a/packages/core/src/skylarklug/scheduler/maintenance.py
+++ b/packages/core/src/skylarklug/scheduler/maintenance.py
@@ -216,26 +216,26 @@
         return
     fields = {
         "machine": event.machine,
+        "wave": event.wave,
         "result": event.result,
         "reason": event.reason,
     }
     effects.append(fx.Log("info", "upkeep", fields))
     if event.reason == "fence":
         orders.suspend_orders(state, effects, event.machine)
-    for wave in leader.waves.values():
-        if event.machine not in wave.pending:
-            continue
-        wave.pending.discard(event.machine)
-        if event.result == "ok":
-            wave.confirmed_at[event.machine] = state.now
-            _uncordon_worker(leader, event.machine, state.now + GOING_DOWN_MS)
-        elif event.reason == "wave":
-            wave.finished.add(event.machine)
-            _uncordon_worker(leader, event.machine)
-        else:
-            # Repeating the order is safe: completed maintenance is not done
-            # again.
-            wave.draining.add(event.machine)
+    wave = leader.waves.get(event.wave)
+    if wave is None or event.machine not in wave.pending:
+        return
+    wave.pending.discard(event.machine)
+    if event.result == "ok":
+        wave.confirmed_at[event.machine] = state.now
+        _uncordon_worker(leader, event.machine, state.now + GOING_DOWN_MS)
+    elif event.reason == "wave":
+        wave.finished.add(event.machine)
+        _uncordon_worker(leader, event.machine)
+    else:
+        # Repeating the order is safe: completed maintenance is not done again.
+        wave.draining.add(event.machine)
 
 
 def _uncordon_worker(leader, name, backoff_until=0):
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -556,7 +556,7 @@
         self._spawn(
             self._run_begin_maintenance(effect),
             lambda at: events.MaintenanceAnswered(
-                at, effect.machine, "unknown", "defect"
+                at, effect.machine, effect.wave, "unknown", "defect"
             ),
         )
 
@@ -564,7 +564,7 @@
         result, reason = await self._ports.machines.begin_maintenance(effect)
         self.dispatch(
             events.MaintenanceAnswered(
-                clocks.boot_ms(), effect.machine, result, reason
+                clocks.boot_ms(), effect.machine, effect.wave, result, reason
             )
         )
 
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -1234,7 +1234,9 @@
         self.deliver(
             node,
             STORE_DELAY_MS,
-            lambda at: events.MaintenanceAnswered(at, machine, *result),
+            lambda at: events.MaintenanceAnswered(
+                at, machine, effect.wave, *result
+            ),
         )
 
     def on_ReportWave(self, node, effect):  # noqa: N802
--- a/tests/scheduler/test_crash_records.py
+++ b/tests/scheduler/test_crash_records.py
@@ -88,7 +88,7 @@
             sim.deliver(
                 node,
                 fakes.STORE_DELAY_MS,
-                lambda at: events.MaintenanceAnswered(at, machine, "ok", ""),
+                lambda at: events.MaintenanceAnswered(at, machine, 1, "ok", ""),
             )
 
         sim.on_BeginMaintenance = begin
--- a/tests/scheduler/test_policy.py
+++ b/tests/scheduler/test_policy.py
@@ -147,6 +147,16 @@
         assert sim.maintained == ["m-w1"]
         assert sim.stored_reports == {1: "done"}
 
+    def test_two_waves_of_one_machine(self, deployment):
+        """Guards against an answer to the order of one wave that completes
+        another wave, which had no maintenance."""
+        sim = deployment(workers=3)
+        self.request_wave(sim, ["m-w0"], 1)
+        self.request_wave(sim, ["m-w0"], 1, number=2)
+        sim.run(15_000)
+        assert sim.maintained_in_wave == {("m-w0", 1), ("m-w0", 2)}
+        assert sim.stored_reports == {1: "done", 2: "done"}
+
     def test_old_list_takes_no_machine_down(self, deployment):
         """Guards against maintenance by a list so old that the machine may have
         another worker by now."""
