Let a new leader know completed waves, and wait for workers not heard of yet

Cause: a leader starts without any progress of waves and took that for "not begun". In the same way it took a worker that it had not reached yet for one without runs.

Change: the state of a wave never goes back. "running" is written only if the operator is told nothing yet, and the answer tells what is stored. A new leader begins with a wave that it has inherited only after that answer, and not if the wave is done. No machine is taken down while its worker may have runs of former leaders that are not known.

Evidence: with the inheritance taken back test_completed_wave_is_not_played_again fails, without the wait for the worker test_worker_that_has_not_answered_a_new_leader does.

Still so: machines that had their maintenance before a take-over in the midst of a wave are drained and ordered again; the platform does nothing for them.

--- a/packages/core/src/skylarklug/scheduler/effects.py
+++ b/packages/core/src/skylarklug/scheduler/effects.py
@@ -194,7 +194,10 @@
 
 
 class ReportWave(NamedTuple):
-    """Report the state of a wave to the operator: "running" or "done"."""
+    """Report the state of a wave to the operator: "running" or "done".
+
+    A wave that is reported as done is not reported as running any more.
+    """
 
     wave: int
     state: str
--- a/packages/core/src/skylarklug/scheduler/events.py
+++ b/packages/core/src/skylarklug/scheduler/events.py
@@ -285,3 +285,14 @@
     wave: int
     result: str
     reason: str
+
+
+class WaveReported(NamedTuple):
+    """A `ReportWave` has been performed.
+
+    `state` is what the operator is told now: "running" or "done".
+    """
+
+    at: int
+    wave: int
+    state: str
--- a/packages/core/src/skylarklug/scheduler/maintenance.py
+++ b/packages/core/src/skylarklug/scheduler/maintenance.py
@@ -26,6 +26,7 @@
 
     Attributes:
         since: When this leader came to know the wave.
+        inherited: Whether a former leader may have completed it.
         confirmed_at: When the maintenance of each machine was confirmed, by
             machine.
         missing_since: When the first list was requested that does not have a
@@ -37,9 +38,10 @@
         reported: The progress last reported to the operator.
     """
 
-    def __init__(self, wave, since):
+    def __init__(self, wave, since, inherited):
         self.wave = wave
         self.since = since
+        self.inherited = inherited
         self.confirmed_at: dict[str, int] = {}
         self.missing_since: dict[str, int] = {}
         self.finished: set[str] = set()
@@ -58,6 +60,24 @@
         "at_once": event.wave.max_count,
     }
     effects.append(fx.Log("info", "wave", fields))
+    if state.leader is not None:
+        _add_wave(state, effects, event.wave, inherited=False)
+
+
+def _add_wave(state, effects, wave, inherited):
+    progress = WaveProgress(wave, state.now, inherited)
+    state.leader.waves[wave.wave] = progress
+    _report(effects, progress, "running")
+
+
+def _on_wave_reported(state, event, effects):
+    leader = state.leader
+    progress = None if leader is None else leader.waves.get(event.wave)
+    if progress is None:
+        return
+    progress.inherited = False
+    if event.state == "done":
+        progress.reported = "done"
 
 
 def _on_tick(state, event, effects):
@@ -68,8 +88,11 @@
         return
     for number, wave in state.waves.items():
         if number not in leader.waves:
-            leader.waves[number] = WaveProgress(wave, state.now)
-    active_waves = [w for w in leader.waves.values() if w.reported != "done"]
+            _add_wave(state, effects, wave, inherited=True)
+    active_waves = []
+    for progress in leader.waves.values():
+        if progress.reported != "done" and not progress.inherited:
+            active_waves.append(progress)
     if not active_waves:
         return
     if not leader.list_pending and state.now >= leader.list_due_at:
@@ -108,7 +131,6 @@
 def _advance_wave(state, effects, wave):
     """Updates a wave: notes machines that are back up, drains the next ones."""
     leader = state.leader
-    _report(effects, wave, "running")
     if leader.machines_listed_at < wave.since:
         # It may name machines that have been added since the list was made.
         return
@@ -175,6 +197,9 @@
     worker = leader.workers.get(machine.worker)
     if machine.state != "up" or worker is None:
         return
+    if worker.name in leader.former_workers:
+        # Runs of a former leader may not be known yet.
+        return
     worker.cordoned = True
     for task in list(worker.runs.values()):
         if task.status != state_lib.WORKING:
@@ -248,6 +273,7 @@
 
 HANDLERS = {
     events.WaveRequested: _on_wave_requested,
+    events.WaveReported: _on_wave_reported,
     events.MachinesListed: _on_machines,
     events.MaintenanceAnswered: _on_maintenance_answer,
     events.Tick: _on_tick,
--- a/packages/node/src/skylarklugd/scheduler.py
+++ b/packages/node/src/skylarklugd/scheduler.py
@@ -572,7 +572,13 @@
         self._spawn(self._run_wave_report(effect))
 
     async def _run_wave_report(self, effect):
-        while not await self._ports.store.report_wave(
-            effect, WAVE_REPORT_TIMEOUT_MS
-        ):
+        while True:
+            reported = await self._ports.store.report_wave(
+                effect, WAVE_REPORT_TIMEOUT_MS
+            )
+            if reported:
+                break
             await asyncio.sleep(WAVE_REPORT_TIMEOUT_MS / 1000)
+        self.dispatch(
+            events.WaveReported(clocks.boot_ms(), effect.wave, reported)
+        )
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -1,4 +1,5 @@
 import asyncio
+import base64
 import json
 import pathlib
 import random
@@ -280,6 +281,38 @@
         with_client(read)
 
 
+class TestWaveReports:
+    def test_state_never_goes_back(self):
+        """Guards against a report of a former leader that arrives late and
+        shows a completed wave as running, and against a new leader that does
+        not learn that a wave was done."""
+
+        async def report(http, log):
+            rows = standin.Store()
+            client = store.StoreClient(rows.address, http, log)
+            found = []
+            for state in ("running", "running", "done", "running", "done"):
+                effect = fx.ReportWave(3, state)
+                found.append(await client.report_wave(effect, 500))
+            stored = rows.rows["status", "", "wave/3"]["value"]
+            return found, json.loads(base64.b64decode(stored))
+
+        found, stored = with_client(report)
+        assert found == ["running", "running", "done", "done", "done"]
+        assert stored == {"state": "done"}
+
+    def test_report_without_an_answer_is_not_known(self):
+        """Guards against a wave that counts as reported when it is not."""
+
+        async def report(http, log):
+            rows = standin.Store()
+            rows.fault = "silent"
+            client = store.StoreClient(rows.address, http, log)
+            return await client.report_wave(fx.ReportWave(3, "running"), 200)
+
+        assert with_client(report) == ""
+
+
 class TestSlowLink:
     def test_limit_covers_the_largest_response(self):
         """Guards against a configuration of 1,400 routes that a VM with a slow
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -1249,6 +1249,11 @@
             stored = self.stored_reports[effect.wave] = effect.state
         if stored not in self.reports[-1:]:
             self.reports.append(stored)
+        self.deliver(
+            node,
+            STORE_DELAY_MS,
+            lambda at: events.WaveReported(at, effect.wave, stored),
+        )
 
     # ---------------------------------------------------------------- gangs
 
--- a/tests/scheduler/test_policy.py
+++ b/tests/scheduler/test_policy.py
@@ -157,6 +157,45 @@
         assert sim.maintained_in_wave == {("m-w0", 1), ("m-w0", 2)}
         assert sim.stored_reports == {1: "done", 2: "done"}
 
+    def test_completed_wave_is_not_played_again(self, deployment):
+        """Guards against machines that a new leader drains for a wave that was
+        done before it took over, and against a state that goes back."""
+        sim = deployment(workers=3)
+        sim.submit(1, fakes.step(3, cpu=9_000, runs_until_cancelled=True))
+        sim.run(1_000)
+        self.request_wave(sim, ["m-w0", "m-w1"], 1)
+        sim.run(15_000)
+        assert sim.reports == ["running", "done"]
+        sim.kill(sim.leader().name)
+        starts = len(sim.starts)
+        sim.run(10_000)
+        assert sim.reports == ["running", "done"]
+        assert len(sim.starts) == starts
+        cordoned = [
+            w for w in sim.leader().state.leader.workers.values() if w.cordoned
+        ]
+        assert not cordoned
+
+    def test_worker_that_has_not_answered_a_new_leader(self, deployment):
+        """Guards against maintenance that ends tasks which a former leader has
+        started on a worker that its successor does not reach yet."""
+        sim = deployment(workers=3)
+        step = fakes.step(3, cpu=9_000, runs_until_cancelled=True)
+        sim.submit(1, step._replace(max_unavailable=1))
+        sim.run(2_000)
+        former = sim.leader()
+        sim.cut_off("w0")
+        sim.kill(former.name)
+        while sim.leader() is None:
+            sim.run(10)
+        sim.cut_off("w0")
+        self.request_wave(sim, ["m-w0"], 1)
+        sim.run(3_500)
+        sim.cut_links.clear()
+        sim.run(20_000)
+        assert sim.ended_by_maintenance == []
+        assert sim.maintained == ["m-w0"]
+
     def test_old_list_takes_no_machine_down(self, deployment):
         """Guards against maintenance by a list so old that the machine may have
         another worker by now."""
