Run jobs by the terms of their acceptance while their queue is not configured

Cause: max_attempts, priority and advice came from the newest configuration of the leader only. A queue that it lacks had one attempt, the highest priority and needed no tickets. Nothing about the queue was stored with the job.

Change: the row of a job keeps the terms of its queue at its acceptance. They count while the queue is not configured, and also for a leader whose configuration is older than the one that the job was accepted by. Else the newest configuration counts. Rows without terms, or with unreadable ones, are run as before.

Evidence: with the former rule test_job_has_all_its_attempts fails under the same leader, after a kill and after a stop, as do test_leader_with_an_older_configuration and test_job_keeps_its_priority_and_advice; without the comparison of versions the second of these fails for a queue with fewer attempts.

--- a/packages/core/src/skylarklug/scheduler/advice.py
+++ b/packages/core/src/skylarklug/scheduler/advice.py
@@ -45,8 +45,7 @@
 
 def is_needed(state, job) -> bool:
     """Returns whether the job's queue requires advice on workers."""
-    queue = jobs.queue_of(state, job)
-    return queue is not None and queue.advice is not None
+    return jobs.terms_of(state, job).advice is not None
 
 
 def _step_advice(task) -> StepAdvice:
@@ -93,7 +92,7 @@
     worker_names = tuple(
         worker.name for worker in workers[:MAX_WORKERS_PER_CALL]
     )
-    cost = jobs.queue_of(state, task.job).advice
+    cost = jobs.terms_of(state, task.job).advice
     timeout_ms = cost.decide_ms + cost.per_worker_ms * len(worker_names)
     effects.append(
         fx.RequestAdvice(
--- a/packages/core/src/skylarklug/scheduler/codec.py
+++ b/packages/core/src/skylarklug/scheduler/codec.py
@@ -39,11 +39,40 @@
     return _STEP_DEFAULTS._replace(**values)
 
 
+def _encode_terms(terms: records.QueueTerms) -> dict[str, Any]:
+    fields = terms._asdict()
+    if terms.advice is not None:
+        fields["advice"] = list(terms.advice)
+    return fields
+
+
+def decode_terms(value: Any) -> records.QueueTerms:
+    """Returns stored terms; `UNKNOWN_TERMS` if they are missing or malformed.
+
+    A later build may have stored further fields.
+    """
+    if not isinstance(value, dict):
+        return records.UNKNOWN_TERMS
+    fields = [value.get(name) for name in records.QueueTerms._fields]
+    *numbers, advice = fields
+    for number in numbers:
+        if type(number) not in (int, float):
+            return records.UNKNOWN_TERMS
+    try:
+        if advice is not None:
+            advice = records.Advice(*advice)
+    except TypeError:
+        return records.UNKNOWN_TERMS
+    return records.QueueTerms(*numbers, advice)
+
+
 def encode_job(spec: records.JobSpec) -> dict[str, Any]:
     """Returns the row value of a job."""
     fields = spec._asdict()
     fields["steps"] = [_encode_step(step) for step in spec.steps]
-    del fields["job"]
+    del fields["job"], fields["terms"]
+    if spec.terms != records.UNKNOWN_TERMS:
+        fields["terms"] = _encode_terms(spec.terms)
     return fields
 
 
@@ -56,6 +85,7 @@
     try:
         fields = dict(value)
         fields["steps"] = tuple(_decode_step(s) for s in fields["steps"])
+        fields["terms"] = decode_terms(fields.get("terms"))
         return records.JobSpec(job=job, **fields)
     except (KeyError, TypeError, ValueError) as exc:
         raise exceptions.ProtocolError(
--- a/packages/core/src/skylarklug/scheduler/intake.py
+++ b/packages/core/src/skylarklug/scheduler/intake.py
@@ -205,6 +205,7 @@
         queue=queue.name,
         service=queue.service,
         accepted_ms=state.wall_ms,
+        terms=state.configuration.terms_of(queue),
     )
     work = {"state": records.PENDING, "queue": queue.name}
     store.commit(
--- a/packages/core/src/skylarklug/scheduler/jobs.py
+++ b/packages/core/src/skylarklug/scheduler/jobs.py
@@ -26,27 +26,33 @@
 START_MARGIN_MS = 30
 
 
-def queue_of(state, job) -> records.Queue | None:
-    """Returns the queue of a job, or None if it is no longer configured."""
-    return state.configuration.queues.get(job.spec.queue)
+def terms_of(state, job) -> records.Queue | records.QueueTerms:
+    """Returns the terms by which a job is run.
+
+    They are those of its acceptance if the queue has been removed, which ends
+    no job, or if this node does not know so recent a configuration yet.
+    """
+    cfg = state.configuration
+    accepted = job.spec.terms
+    if cfg.version < accepted.version:
+        return accepted
+    return cfg.queues.get(job.spec.queue, accepted)
 
 
 def service_of(state, job) -> str:
     """Returns the service whose workers run the job's tasks."""
-    queue = queue_of(state, job)
+    queue = state.configuration.queues.get(job.spec.queue)
     return job.spec.service if queue is None else queue.service
 
 
 def max_attempts(state, job) -> int:
     """Returns how many failed attempts of one task fail the job."""
-    queue = queue_of(state, job)
-    return 1 if queue is None else max(1, queue.max_attempts)
+    return max(1, terms_of(state, job).max_attempts)
 
 
 def priority_of(state, job) -> int:
     """Returns the job's priority; 0 is the highest."""
-    queue = queue_of(state, job)
-    return 0 if queue is None else queue.priority
+    return terms_of(state, job).priority
 
 
 def urgency_of(state, job, has_deadline=True) -> order.Urgency:
@@ -125,11 +131,11 @@
             effects.append(fx.Log("error", "job-unreadable", fields))
             return
     leader.jobs[spec.job] = job
-    queue = queue_of(state, job)
-    objective = 0 if queue is None else queue.objective_ms
-    stretch = 1.0 if queue is None else queue.stretch
+    terms = terms_of(state, job)
     job.deadline = int(
-        spec.accepted_ms + objective + stretch * critical_path_ms(spec.steps)
+        spec.accepted_ms
+        + terms.objective_ms
+        + terms.stretch * critical_path_ms(spec.steps)
     )
     if job.state in records.FINAL_STATES:
         mark_dirty(leader, job)
--- a/packages/core/src/skylarklug/scheduler/records.py
+++ b/packages/core/src/skylarklug/scheduler/records.py
@@ -72,11 +72,44 @@
     max_unavailable: int = -1
 
 
+class Advice(NamedTuple):
+    """Cost and validity of the advice on which workers may run a step."""
+
+    decide_ms: int
+    per_worker_ms: int
+    valid_ms: int
+
+
+class QueueTerms(NamedTuple):
+    """How the jobs of a queue are run, by one version of the configuration.
+
+    Attributes:
+        version: Version of the configuration; 0 if it is not known.
+        priority: Priority of the jobs; 0 is the highest.
+        max_attempts: Failed attempts of one task that fail its job.
+        stretch: Factor on a job's critical path in its deadline.
+        objective_ms: Constant part of the time until the deadline.
+        advice: Cost of advice on workers; None if none is needed.
+    """
+
+    version: int
+    priority: int
+    max_attempts: int
+    stretch: float
+    objective_ms: int
+    advice: Advice | None
+
+
+# The terms of jobs that were accepted by a build that did not store them.
+UNKNOWN_TERMS = QueueTerms(0, 0, 1, 1.0, 0, None)
+
+
 class JobSpec(NamedTuple):
     """A job as its client submitted it.
 
     `accepted_ms` and `first_due_ms` are Unix milliseconds. `repeats` is the
     number of timed occurrences, or 0 for a job that runs once, immediately.
+    `terms` are those of its queue when it was accepted.
     """
 
     job: str
@@ -88,25 +121,13 @@
     repeats: int = 0
     first_due_ms: int = 0
     interval_ms: int = 0
-
-
-class Advice(NamedTuple):
-    """Cost and validity of the advice on which workers may run a step."""
-
-    decide_ms: int
-    per_worker_ms: int
-    valid_ms: int
+    terms: QueueTerms = UNKNOWN_TERMS
 
 
 class Queue(NamedTuple):
     """A queue of jobs, selected by `host` and the longest matching `prefix`.
 
-    Attributes:
-        priority: Priority of its jobs; 0 is the highest.
-        max_attempts: Failed attempts of one task that fail its job.
-        stretch: Factor on a job's critical path in its deadline.
-        objective_ms: Constant part of the time until the deadline.
-        advice: Cost of advice on workers; None if none is needed.
+    The other fields are those of `QueueTerms`.
     """
 
     name: str
@@ -133,6 +154,17 @@
     queues: dict[str, Queue]
     unguarded_services: frozenset[str] = frozenset()
 
+    def terms_of(self, queue: Queue) -> QueueTerms:
+        """Returns the terms of one of the queues."""
+        return QueueTerms(
+            self.version,
+            queue.priority,
+            queue.max_attempts,
+            queue.stretch,
+            queue.objective_ms,
+            queue.advice,
+        )
+
     def match(self, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest matching prefix, or None."""
         best = None
--- a/tests/scheduler/test_jobs.py
+++ b/tests/scheduler/test_jobs.py
@@ -1,7 +1,9 @@
+import pytest
 import scheduler_fakes as fakes
 
 from skylarklug.scheduler import codec
 from skylarklug.scheduler import events
+from skylarklug.scheduler import jobs
 from skylarklug.scheduler import records
 
 
@@ -368,3 +370,137 @@
             list(first),
             list(second),
         ]
+
+
+WITHOUT_QUEUE = records.Configuration(5, {})
+WITH_QUEUE = fakes.CONFIGURATION._replace(version=9)
+STORED_TERMS = {
+    "version": 9,
+    "priority": 2,
+    "max_attempts": 3,
+    "stretch": 1.5,
+    "objective_ms": 300,
+    "advice": [10, 1, 2_000],
+}
+
+
+class TestRemovedQueue:
+    @pytest.mark.parametrize("end", ("none", "kill", "stop", "power"))
+    def test_job_has_all_its_attempts(self, deployment, end):
+        """Guards against a job that is failed at its first failed run while its
+        queue is removed for some seconds, also by a later leader."""
+        sim = deployment()
+        sim.submit(1, fakes.step(cpu=9_000))
+        sim.run(100)
+        sim.change_configuration(WITHOUT_QUEUE)
+        former = sim.leader()
+        if end == "kill":
+            sim.kill(former.name)
+        elif end == "power":
+            sim.lose_node_power(former.name)
+        elif end == "stop":
+            sim.stop(former)
+        fail_one_run(sim, fakes.first_key(1))
+        sim.run(2_000)
+        sim.change_configuration(WITH_QUEUE)
+        sim.run(15_000)
+        assert sim.state_of(1) == "done"
+        assert not sim.find_problems()
+
+    @pytest.mark.parametrize(
+        "queues", ({}, {"batch": fakes.QUEUE._replace(max_attempts=1)})
+    )
+    def test_leader_with_an_older_configuration(self, deployment, queues):
+        """Guards against the same by a leader that has not read the version by
+        which another node has accepted the job."""
+        sim = deployment(configuration=records.Configuration(1, queues))
+        leader = sim.leader()
+        deliver = sim.deliver_operator_rows
+        sim.deliver_operator_rows = lambda node: (
+            None if node is leader else deliver(node)
+        )
+        for name in sim.nodes:
+            sim.cut_node_links.add(frozenset((leader.name, name)))
+        sim.change_configuration(WITH_QUEUE)
+        sim.run(1_000)
+        other = next(n for n in sim.nodes.values() if n is not leader)
+        sim.submit(1, fakes.step(cpu=9_000), node=other.name)
+        fail_one_run(sim, fakes.first_key(1))
+        assert sim.leader() is leader
+        assert leader.state.configuration.version == 1
+        sim.run(3_000)
+        sim.deliver_operator_rows = deliver
+        sim.change_configuration(WITH_QUEUE)
+        sim.run(3_000)
+        assert sim.state_of(1) == "done"
+
+    def test_job_keeps_its_priority_and_advice(self, deployment):
+        """Guards against a job that has the highest priority, and starts that
+        are rejected for want of a ticket, while its queue is removed."""
+        advised = fakes.QUEUE._replace(advice=records.Advice(10, 1, 2_000))
+        cfg = records.Configuration(1, {"batch": advised})
+        sim = deployment(configuration=cfg)
+        sim.offered_tickets = None
+        sim.submit(1, fakes.step())
+        sim.run(500)
+        sim.change_configuration(WITHOUT_QUEUE)
+        sim.run(500)
+        sim.kill(sim.leader().name)
+        sim.run(6_000)
+        state = sim.leader().state
+        job = state.leader.jobs[fakes.job_id(1)]
+        assert state.configuration.version == 5
+        assert jobs.priority_of(state, job) == fakes.QUEUE.priority
+        assert jobs.terms_of(state, job).advice == advised.advice
+        assert job.deadline == job.spec.accepted_ms + 1_000 + 2 * 1_000
+        assert not sim.starts
+        sim.offered_tickets = {name: "t" for name in sim.workers}
+        sim.run(3_000)
+        assert sim.starts
+
+    def test_newer_terms_count(self, deployment):
+        """Guards against jobs that keep to old terms after a change."""
+        sim = deployment()
+        sim.submit(1, fakes.step(runs_until_cancelled=True))
+        sim.run(1_000)
+        queue = fakes.QUEUE._replace(priority=1, max_attempts=7)
+        sim.change_configuration(records.Configuration(4, {"batch": queue}))
+        sim.run(1_000)
+        state = sim.leader().state
+        job = state.leader.jobs[fakes.job_id(1)]
+        assert jobs.priority_of(state, job) == 1
+        assert jobs.max_attempts(state, job) == 7
+
+    @pytest.mark.parametrize(
+        "value",
+        (
+            None,
+            5,
+            {},
+            {"version": 1},
+            {**STORED_TERMS, "advice": 5},
+            {**STORED_TERMS, "stretch": ""},
+        ),
+    )
+    def test_unreadable_terms_are_unknown(self, value):
+        """Guards against a job that is not loaded because another build has
+        written its row."""
+        assert codec.decode_terms(value) == records.UNKNOWN_TERMS
+
+    def test_stored_terms_are_read(self):
+        """Guards against terms that a later build can't read."""
+        value = {**STORED_TERMS, "added_later": True}
+        assert codec.decode_terms(value) == records.QueueTerms(
+            9, 2, 3, 1.5, 300, records.Advice(10, 1, 2_000)
+        )
+
+
+def fail_one_run(sim, key):
+    """Lets the current or next run of a task end as failed."""
+    for _ in range(8_000):
+        for worker in sim.workers.values():
+            if key in worker.runs:
+                worker.end(key, "failed")
+                return
+        sim.run(1)
+    raise AssertionError("the task never runs")
