Let the cancellation of a job that is not stored prevent its late submission

Cause: a submission whose answer the store loses may be performed later, if its condition still holds: that the job has no `work` row. A cancellation that found no row answered 410 and left nothing behind, so the condition held.

Change: such a cancellation first writes a `work` row that says so, on condition that there is none, and answers 410 when it is stored. The late submission then fails. If the submission comes first the cancellation finds the job and cancels it. The row makes no job known: it is answered 410 like before. A repeated submission is answered 503, as the job is not accepted and never runs.

--- a/packages/core/src/skylarklug/scheduler/intake.py
+++ b/packages/core/src/skylarklug/scheduler/intake.py
@@ -29,6 +29,9 @@
 _HEX = frozenset("0123456789abcdef")
 # Suffix of the key in `jobs` that requests the cancellation of a job.
 CANCEL_SUFFIX = ".cancel"
+# Value of the `work` row of a job that was cancelled before it was stored. The
+# row makes a submission fail that the store performs late.
+_CANCELLED_BEFORE = {"state": records.CANCELLED, "submitted": False}
 
 
 def _answer(
@@ -182,6 +185,11 @@
         _refuse(state, effects, req, 504, job, reason)
 
 
+def _is_submitted(row):
+    """Returns whether a `work` row is that of a job, and not only cancelled."""
+    return row.value.get("submitted", True)
+
+
 # ------------------------------------------------------------------- submit
 
 
@@ -229,6 +237,10 @@
         return
     if answer.status == "ok":
         _remember_state(state, job, records.PENDING)
+    elif not all(_is_submitted(row) for row in answer.rows if row.value):
+        reason = "the job was cancelled before it was submitted"
+        _refuse(state, effects, req, 503, job, reason, queue.priority)
+        return
     fields = {
         "job": job,
         "req": req,
@@ -298,7 +310,7 @@
     if answer.status != "ok":
         _answer_known_state(state, effects, req, job)
         return
-    if not answer.rows:
+    if not answer.rows or not _is_submitted(answer.rows[0]):
         state.known_states.pop(job, None)
         _answer(state, effects, req, 410)
         return
@@ -338,9 +350,37 @@
         _refuse_store_failure(state, effects, req, job, answer, "cancel")
         return
     if not answer.rows:
+        # The store may still perform a submission whose answer was lost.
+        store.commit(
+            state,
+            effects,
+            [fx.Check("work", job, 0)],
+            [fx.Write("work", job, _CANCELLED_BEFORE)],
+            functools.partial(_on_cancelled_before, req, job, deadline_ms),
+            _timeout_ms(deadline_ms),
+        )
+        return
+    _cancel_stored(req, job, deadline_ms, state, effects, answer.rows[0])
+
+
+def _on_cancelled_before(req, job, deadline_ms, state, effects, answer):
+    if answer.status == "conflict":
+        for row in answer.rows:
+            if row.value is not None:
+                _cancel_stored(req, job, deadline_ms, state, effects, row)
+                return
+    if answer.status != "ok":
+        _refuse_store_failure(state, effects, req, job, answer, "cancel")
+        return
+    _answer(state, effects, req, 410)
+
+
+def _cancel_stored(req, job, deadline_ms, state, effects, row):
+    """Cancels a job by its `work` row."""
+    if not _is_submitted(row):
         _answer(state, effects, req, 410)
         return
-    job_state = answer.rows[0].value["state"]
+    job_state = row.value["state"]
     if job_state in records.FINAL_STATES:
         _remember_state(state, job, job_state)
         _answer(state, effects, req, 200)
--- a/tests/scheduler/test_jobs.py
+++ b/tests/scheduler/test_jobs.py
@@ -372,6 +372,100 @@
         ]
 
 
+class TestCancelledBeforeItIsStored:
+    def submit_late(self, sim, late_ms):
+        """Submits a job that the store stores late, without an answer."""
+        leader = sim.leader().name
+        node = next(name for name in sim.nodes if name != leader)
+        sim.store.late_ms = late_ms
+        sim.store.modes[node] = "late"
+        req = sim.submit(1, fakes.step(cpu=9_000), node=node)
+        # It has been sent, and the node's next calls are answered.
+        sim.run(5)
+        del sim.store.modes[node]
+        while sim.status(req) is None:
+            sim.run(1)
+        assert sim.status(req) == 504
+        return node
+
+    @pytest.mark.parametrize("end", ("none", "kill", "stop"))
+    def test_late_submission_never_runs(self, deployment, end):
+        """Guards against a job that runs although its cancellation was answered
+        with 410, because the store performs its submission later."""
+        sim = deployment()
+        node = self.submit_late(sim, 5_500)
+        req = sim.cancel(1, node=node)
+        sim.run(50)
+        assert sim.status(req) == 410
+        if end == "kill":
+            sim.kill(sim.leader().name)
+        elif end == "stop":
+            sim.stop(sim.leader())
+        sim.run(15_000)
+        assert not sim.starts
+        assert ("jobs", fakes.job_id(1)) not in sim.store.rows
+        assert sim.state_of(1) == "gone"
+
+    @pytest.mark.parametrize("late_ms", range(1_346, 1_376, 2))
+    def test_submission_meets_the_cancellation(self, deployment, late_ms):
+        """Guards against the same if the submission is performed between the
+        calls of the cancellation."""
+        sim = deployment()
+        node = self.submit_late(sim, late_ms)
+        req = sim.cancel(1, node=node)
+        sim.run(3_000)
+        assert sim.status(req) in (200, 410)
+        began = len(sim.starts)
+        sim.run(10_000)
+        assert len(sim.starts) == began
+        expected = "gone" if sim.status(req) == 410 else "canceled"
+        assert sim.state_of(1) == expected
+
+    def test_repeated_submission_is_not_accepted(self, deployment):
+        """Guards against a repeated submission that is told to be accepted, or
+        runs, after the cancellation was confirmed."""
+        sim = deployment()
+        node = self.submit_late(sim, 5_500)
+        sim.cancel(1, node=node)
+        sim.run(50)
+        for other in sorted(sim.nodes):
+            req = sim.submit(1, fakes.step(cpu=9_000), node=other)
+            sim.run(50)
+            assert sim.status(req) == 503
+        sim.run(10_000)
+        assert not sim.starts
+
+    def test_job_that_nobody_submitted_is_not_shown(self, deployment):
+        """Guards against a job that is shown because somebody has cancelled
+        what was never submitted."""
+        sim = deployment()
+        for _ in range(2):
+            req = sim.cancel(1)
+            sim.run(50)
+            assert sim.status(req) == 410
+            assert sim.state_of(1) == "gone"
+
+    def test_store_that_does_not_answer(self, deployment):
+        """Guards against a cancellation that is confirmed although a late
+        submission may still succeed."""
+        sim = deployment()
+        node = self.submit_late(sim, 9_000)
+        sim.store.modes[node] = "refuse writes"
+        req = sim.cancel(1, node=node)
+        sim.run(50)
+        assert sim.status(req) == 503
+        sim.store.modes[node] = "lose"
+        req = sim.cancel(1, node=node)
+        sim.run(2_000)
+        assert sim.status(req) == 504
+        sim.store.modes.clear()
+        req = sim.cancel(1, node=node)
+        sim.run(50)
+        assert sim.status(req) == 410
+        sim.run(15_000)
+        assert not sim.starts
+
+
 WITHOUT_QUEUE = records.Configuration(5, {})
 WITH_QUEUE = fakes.CONFIGURATION._replace(version=9)
 STORED_TERMS = {
