Start labelled tasks only by the entry of the worker's present incarnation

Cause: a poll shows the restart at once, the entry with the new labels follows up to a heartbeat later, and placement took the labels of the former entry.

Change: a task with a label starts only on a worker whose entry is of the incarnation that has answered. Others start as before. The simulation's entries show labels only once they are published, as its capacities do.

Evidence: both cases of test_label_of_former_incarnation fail without the comparison and pass with it.

--- a/packages/core/src/skylarklug/scheduler/placement.py
+++ b/packages/core/src/skylarklug/scheduler/placement.py
@@ -93,7 +93,7 @@
             or state.now < worker.backoff_until
         ):
             continue
-        if label and label not in entry.labels:
+        if label and not _has_label(worker, label):
             continue
         if not enforced and not capacity.is_current(state, worker):
             continue
@@ -101,6 +101,16 @@
     return found
 
 
+def _has_label(worker, label):
+    """Returns whether a worker is known to have a label.
+
+    Another incarnation may be of another kind.
+    """
+    if 0 < worker.entry.incarnation < worker.incarnation:
+        return False
+    return label in worker.entry.labels
+
+
 def _permitted_workers(state, effects, task):
     """Returns the eligible workers that the advice service also allows."""
     candidates = _eligible_workers(state, task)
--- a/tests/scheduler/scheduler_fakes.py
+++ b/tests/scheduler/scheduler_fakes.py
@@ -200,8 +200,9 @@
         self.capacity = records.Resources(cpu, 64_000, 0)
         # Capacities of this incarnation, as (since when, capacity).
         self.capacities = []
-        # Capacity and incarnation in its entry.
+        # Capacity and incarnation in its entry, and its labels there.
         self.published = (self.capacity, incarnation)
+        self.published_labels = labels
         self.labels = labels
         # Whether another writer has put an unreadable entry over its own.
         self.has_odd_entry = False
@@ -257,7 +258,7 @@
     @cpu.setter
     def cpu(self, cpu):
         self.resize(cpu=cpu)
-        self.published = (self.capacity, self.incarnation)
+        self.update_entry()
 
     def resize(self, **fields):
         """Changes the capacity; the entry does not show it yet."""
@@ -269,9 +270,13 @@
         if self.sim.store.refuses_workers:
             self.sim.after(HEARTBEAT_MS, self.publish)
             return
-        self.published = (self.capacity, self.incarnation)
+        self.update_entry()
         self.sim.publish_entry(self)
 
+    def update_entry(self):
+        self.published = (self.capacity, self.incarnation)
+        self.published_labels = self.labels
+
     def capacity_limit(self):
         """Returns the most that any start may use now.
 
@@ -287,6 +292,7 @@
 
     def entry(self):
         capacity, incarnation = self.published
+        labels = self.published_labels
         return records.WorkerEntry(
             worker=self.name,
             service=SERVICE,
@@ -295,8 +301,8 @@
             draining=self.draining,
             remaining_ms=-1,
             capacity=capacity,
-            labels=self.labels,
-            rack=self.labels[-1],
+            labels=labels,
+            rack=labels[-1],
             incarnation=incarnation,
         )
 
@@ -984,7 +990,7 @@
     def publish_workers(self):
         """Sends the current worker entries to all nodes."""
         for worker in self.workers.values():
-            worker.published = (worker.capacity, worker.incarnation)
+            worker.update_entry()
         entries = self.readable_entries()
         for node in self.nodes.values():
             if not self.store.is_readable(node):
--- a/tests/scheduler/test_restarted_worker.py
+++ b/tests/scheduler/test_restarted_worker.py
@@ -132,6 +132,34 @@
         assert not sim.find_problems()
 
 
+class TestOtherKind:
+    @pytest.mark.parametrize("take_over", (False, True))
+    def test_label_of_former_incarnation(self, deployment, take_over):
+        """Guards against a start by the label of a worker that has come back as
+        one of another kind, before its new entry is read."""
+        sim = deployment(workers=3)
+        for name in ("w1", "w2"):
+            sim.workers[name].labels = ("b", "r1")
+        sim.publish_workers()
+        sim.run(500)
+        worker = sim.workers["w0"]
+        worker.labels = ("b", "r1")
+        worker.crash(incarnation=2)
+        if take_over:
+            sim.kill(sim.leader().name)
+        sim.submit(1, fakes.step(label="a"), node=sorted(sim.nodes)[-1])
+        sim.run(1_500)
+        leader = sim.leader().state.leader
+        assert leader.workers["w0"].incarnation == 2
+        assert leader.workers["w0"].entry.labels == ("a", "r1")
+        assert not sim.starts
+        worker.labels = ("a", "r1")
+        worker.publish()
+        sim.run(1_500)
+        assert [row[3] for row in sim.starts] == ["w0"]
+        assert sim.state_of(1) == "done"
+
+
 class TestRunOfClosedJob:
     def test_takes_up_capacity_until_it_has_stopped(self, deployment):
         """Guards against a start that exceeds the capacity of a worker which
