Pause the polls of a worker while starts there have no answer

Cause: while a start is without an answer nothing is acknowledged, so a poll that would list ends again returns at once. For each lost answer a busy worker was polled every 30 ms for 0.4 s.

Change: such a poll waits for the answer, 0.4 s at most, and is sent with it. Other polls keep their times.

--- a/packages/core/src/skylarklug/scheduler/incarnations.py
+++ b/packages/core/src/skylarklug/scheduler/incarnations.py
@@ -42,6 +42,11 @@
         del worker.unverified_starts[start_id]
     else:
         worker.unverified_starts[start_id] = state.now
+    is_in_flight = 0 in worker.unverified_starts.values()
+    if worker.awaits_verification and not is_in_flight:
+        # The next poll acknowledges ends, or verifies the starts.
+        worker.awaits_verification = False
+        worker.poll_due_at = min(worker.poll_due_at, state.now)
 
 
 def verify_starts(worker, asked_at):
--- a/packages/core/src/skylarklug/scheduler/state.py
+++ b/packages/core/src/skylarklug/scheduler/state.py
@@ -264,6 +264,8 @@
         unverified_starts: Starts that may have reached a later incarnation than
             the one that last answered a poll, by (task, attempt): when the
             order was answered, 0 before.
+        awaits_verification: Whether the next poll waits for the answers to
+            those starts.
         lease_granted_at: When the latest order that renews its lease was
             sent.
         answered_at: When it last answered.
@@ -290,6 +292,7 @@
         "answered_at",
         "answered_address",
         "answer_due_at",
+        "awaits_verification",
         "asked_at",
         "recent_failures",
         "announced_at",
@@ -350,6 +353,7 @@
         self.has_more_ends = False
         self.later_ends: set[int] = set()
         self.unverified_starts: dict[tuple[records.TaskKey, int], int] = {}
+        self.awaits_verification = False
         self.lease_granted_at = 0
         self.answered_at = 0
         self.asked_at = 0
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -260,6 +260,7 @@
     if event.incarnation > worker.incarnation:
         _on_restart(state, effects, worker, event.incarnation)
     worker.announced_at = 0
+    worker.awaits_verification = False
     incarnations.verify_starts(worker, event.sent_at)
     if _is_unreadable(event) and not worker.fenced and not leader.settled:
         # Any run of a former leader may be one that could not be read. It gets
@@ -303,6 +304,10 @@
         worker.poll_due_at = state.now + roster.UNEXPIRED_POLL_DELAY_MS
     elif ends.must_keep_ends(worker):
         worker.poll_due_at = state.now + UNSAVED_POLL_PAUSE_MS
+    elif event.ended and worker.unverified_starts:
+        # The next poll would list these ends again, and return at once.
+        worker.poll_due_at = state.now + UNSAVED_POLL_PAUSE_MS
+        worker.awaits_verification = True
     else:
         worker.poll_due_at = state.now + POLL_PAUSE_MS
 
--- a/tests/scheduler/test_incarnations.py
+++ b/tests/scheduler/test_incarnations.py
@@ -117,3 +117,25 @@
         assert sim.state_of(1) == "running"
         assert polls.count(0) < 0.2 * len(polls)
         assert not sim.find_problems()
+
+    def test_unanswered_starts_cause_no_series_of_polls(self, deployment):
+        """Guards against a leader that polls a worker without a pause, as each
+        poll returns at once, while starts there get no answer."""
+        sim = deployment(workers=2)
+        for worker in sim.workers.values():
+            worker.run_ms = 60
+            worker.unanswered_starts = 1_000
+        polls = []
+        poll = sim.on_PollWorker
+
+        def on_poll(node, effect):
+            polls.append((sim.now, effect.worker))
+            poll(node, effect)
+
+        sim.submit(1, fakes.step(2_000, cpu=4_000))
+        sim.run(1_000)
+        sim.on_PollWorker = on_poll
+        sim.run(6_000)
+        assert sim.state_of(1) == "running"
+        assert len(polls) / 6 / len(sim.workers) < 10
+        assert not sim.find_problems()
