--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -10,6 +10,7 @@
 import json
 import operator
 import time
+import weakref
 
 from tornado import httpserver
 from tornado import httputil
@@ -21,6 +22,8 @@
 
 
 def respond(req, status, fields):
+    if req.connection.stream in severed_streams:
+        return
     body = json.dumps(fields).encode()
     headers = httputil.HTTPHeaders({"Content-Length": str(len(body))})
     start = httputil.ResponseStartLine("HTTP/1.1", status, "-")
@@ -28,11 +31,16 @@
     req.connection.finish()
 
 
+# Connections that have gone silent for good.
+severed_streams = weakref.WeakSet()
+
+
 class Server:
     """Listens on a port, records requests and passes them to `handle`."""
 
     def __init__(self, port=0):
         self.open(port)
+        self.streams = weakref.WeakSet()
         self.requests = []
         # Status of all responses, "silent" to send none, or 0 to handle the
         # request.
@@ -46,6 +54,9 @@
         self.server.add_socket(sock)
 
     def on_request(self, req):
+        self.streams.add(req.connection.stream)
+        if req.connection.stream in severed_streams:
+            return
         body = json.loads(req.body) if req.body else None
         self.requests.append((req.method, req.path, dict(req.headers), body))
         if self.fault == "silent":
@@ -58,6 +69,10 @@
     def close(self):
         self.server.stop()
 
+    def sever(self):
+        """Lets all open connections go silent for good; new ones work."""
+        severed_streams.update(self.streams)
+
     def disconnect(self):
         """Closes all connections as well."""
         self.close()
--- a/tests/platform/test_turned_away.py
+++ b/tests/platform/test_turned_away.py
@@ -1,4 +1,7 @@
-"""Processes of which the store turns one away while it serves the other."""
+"""Processes of which the store turns one away while it serves the other.
+
+Or whose open connections go silent for good, while new ones work.
+"""
 
 import asyncio
 import json
@@ -135,3 +138,46 @@
             await counts(away, "/added/", 200, changed_at)
 
         run_pair(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("change_s", [0.0, 1.5, 4.5])
+class TestSeveredConnections:
+    """The day `unanswered` in small."""
+
+    async def follow_change(self, pair, change_s):
+        """Changes the configuration, asks each node, and hands a job in."""
+        await asyncio.sleep(change_s)
+        pair.store.put("op", "", "config", WITH_ADDED)
+        changed_at = time.monotonic()
+        for scheduler in pair.schedulers:
+            late = await counts(scheduler, "/added/", 200, changed_at)
+            assert late <= {503}
+        path = f"/batch/{test_process.JOB}"
+        body = json.dumps({"spec": "text", "steps": [{"count": 3}]}).encode()
+        first, second = pair.schedulers
+
+        async def is_accepted():
+            answer = await second.request(second.front, "POST", path, body)
+            return answer.status == 200
+
+        async def is_done():
+            return await first.job_state() == "done"
+
+        await test_process.wait_until(is_accepted)
+        await test_process.wait_until(is_done)
+        assert len(self.worker.started) == 3
+
+    @pytest.mark.parametrize("share", ["one", "all"])
+    def test_connections_to_the_store(self, tmp_path, share, change_s):
+        """Guards against a node that waits for answers on connections that have
+        gone silent, and decides by an outdated configuration meanwhile."""
+
+        async def scenario(pair):
+            self.worker = standin.Worker("w1")
+            pair.store.put("servers", "", "w1", self.worker.entry())
+            await asyncio.sleep(2.0)
+            for door in pair.doors[:1] if share == "one" else pair.doors:
+                door.sever()
+            await self.follow_change(pair, change_s)
+
+        run_pair(tmp_path, scenario)
