Send a late poll without its acknowledgement instead of not at all

Cause: a poll that a busy leader sends more than 500 ms after its decision was refused and counted as a failed look, although the worker was sound. Nothing would start there before the next answer.

Change: it is sent, and acknowledges nothing.

--- a/packages/core/src/skylarklug/scheduler/effects.py
+++ b/packages/core/src/skylarklug/scheduler/effects.py
@@ -109,9 +109,9 @@
 
     `lease_until` is in milliseconds of the worker's clock; 0 does not renew
     the lease. The worker forgets ends up to number `acknowledged`, and waits
-    up to `wait_ms` for a new end before it answers. Unless `valid_until` is 0,
-    the poll must not be sent after it, in milliseconds of the clock of events:
-    a later incarnation may have ends by then.
+    up to `wait_ms` for a new end before it answers. A poll that is sent after
+    `acknowledge_until`, in milliseconds of the clock of events, acknowledges
+    nothing: a later incarnation may have ends by then.
     """
 
     worker: str
@@ -121,7 +121,7 @@
     lease_until: int
     wait_ms: int
     timeout_ms: int
-    valid_until: int = 0
+    acknowledge_until: int = 0
 
 
 class StartRun(NamedTuple):
--- a/packages/core/src/skylarklug/scheduler/workers.py
+++ b/packages/core/src/skylarklug/scheduler/workers.py
@@ -32,8 +32,8 @@
 MAX_POLL_TIMEOUT_MS = 2_600
 # Delay before the next poll after a failed one.
 POLL_RETRY_MS = 300
-# A poll that acknowledges ends is sent within this time or not at all. A
-# connection that is not open by then may be to a later incarnation.
+# A poll acknowledges ends only if it is sent within this time. A connection
+# that is not open by then may be to a later incarnation.
 ACKNOWLEDGE_WITHIN_MS = 500
 # Pause between polls while the store has not committed all reported ends. Such
 # polls return at once.
@@ -223,17 +223,16 @@
         + POLL_TIMEOUT_MARGIN_MS
         + worker.failed_polls * POLL_TIMEOUT_STEP_MS,
     )
-    acknowledged = incarnations.acknowledgeable_end(worker)
     effects.append(
         fx.PollWorker(
             worker.name,
             worker.entry.address,
             state.leader.epoch,
-            acknowledged,
+            incarnations.acknowledgeable_end(worker),
             lease_until,
             wait_ms,
             timeout_ms,
-            state.now + ACKNOWLEDGE_WITHIN_MS if acknowledged else 0,
+            state.now + ACKNOWLEDGE_WITHIN_MS,
         )
     )
 
